--- /dev/null
+++ b/src/codegen/java/carawayswitch/codegen/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Generator of messages and settings from the schema.
+ */
+package carawayswitch.codegen;
--- /dev/null
+++ b/src/main/java/carawayswitch/audit/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Audit trail of changes.
+ */
+package carawayswitch.audit;
--- /dev/null
+++ b/src/main/java/carawayswitch/cli/ExitCode.java
@@ -0,0 +1,37 @@
+package carawayswitch.cli;
+
+/**
+ * Exit codes of the program. Immutable.
+ */
+enum ExitCode {
+
+	/** The command did what it was asked to do. */
+	OK(0, "the command did what it was asked to do"),
+
+	/** The command was refused or its check failed. */
+	FAILED(1, "the command was refused or its check failed"),
+
+	/** The command line or a file has errors. */
+	USAGE(2, "the command line or a file has errors"),
+
+	/** A host could not be reached. */
+	UNREACHABLE(3, "a host could not be reached");
+
+	private final int code;
+
+	private final String meaning;
+
+	ExitCode(int code, String meaning) {
+		this.code = code;
+		this.meaning = meaning;
+	}
+
+	int code() {
+		return this.code;
+	}
+
+	String meaning() {
+		return this.meaning;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/cli/Main.java
@@ -0,0 +1,67 @@
+package carawayswitch.cli;
+
+import java.io.PrintStream;
+import java.util.Arrays;
+import java.util.List;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.ParseException;
+
+/**
+ * Entry point of the program. Stateless.
+ */
+public final class Main {
+
+	static final List<Command> COMMANDS = List.of(new ServeCommand(), new CheckCommand(), new TryCommand(),
+			new StandInCommand(), new EntityCommand("tier"), new EntityCommand("profile"),
+			new EntityCommand("organisation"), new EntityCommand("service"), new EntityCommand("endpoint"),
+			new StatusCommand(), new AuditCommand());
+
+	private Main() {
+	}
+
+	public static void main(String[] args) {
+		System.exit(run(args, System.out, System.err).code());
+	}
+
+	static ExitCode run(String[] args, PrintStream out, PrintStream err) {
+		if (args.length == 0 || args[0].equals("--help") || args[0].equals("help")) {
+			out.print(Help.overview(COMMANDS));
+			return (args.length == 0) ? ExitCode.USAGE : ExitCode.OK;
+		}
+		Command command = COMMANDS.stream().filter((each) -> each.name().equals(args[0])).findFirst().orElse(null);
+		if (command == null) {
+			List<String> names = COMMANDS.stream().map(Command::name).toList();
+			err.println("carawayswitch: command \"" + args[0] + "\" is not known; valid: " + names);
+			return ExitCode.USAGE;
+		}
+		String[] rest = Arrays.copyOfRange(args, 1, args.length);
+		if (Arrays.asList(rest).contains("--help")) {
+			out.print(Help.page(command));
+			return ExitCode.OK;
+		}
+		return run(command, rest, out, err);
+	}
+
+	private static ExitCode run(Command command, String[] rest, PrintStream out, PrintStream err) {
+		try {
+			CommandLine line = new DefaultParser().parse(command.options(), rest);
+			return command.run(line, out);
+		}
+		catch (ParseException | UsageException ex) {
+			err.println("carawayswitch " + command.name() + ": " + ex.getMessage());
+			err.println("usage: carawayswitch " + command.name() + " " + command.synopsis());
+			return ExitCode.USAGE;
+		}
+		catch (java.io.IOException ex) {
+			err.println("carawayswitch " + command.name() + ": " + ex.getMessage());
+			return ExitCode.UNREACHABLE;
+		}
+		catch (Exception ex) {
+			err.println("carawayswitch " + command.name() + ": " + ex);
+			return ExitCode.FAILED;
+		}
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/cli/OperatorClient.java
@@ -0,0 +1,69 @@
+package carawayswitch.cli;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.apache.commons.cli.CommandLine;
+
+import carawayswitch.http.Json;
+
+/**
+ * Calls the operators' interface of a host. Immutable.
+ *
+ * @param address address of the host
+ * @param token operators' token
+ */
+record OperatorClient(InetSocketAddress address, String token) {
+
+	private static final Duration TIMEOUT = Duration.ofSeconds(15);
+
+	private static final String TOKEN_VARIABLE = "CARAWAYSWITCH_TOKEN";
+
+	static OperatorClient of(CommandLine line) throws UsageException {
+		String token = line.getOptionValue("token", System.getenv().getOrDefault(TOKEN_VARIABLE, ""));
+		if (token.isEmpty()) {
+			throw new UsageException("--token is not set; valid: the operators' token, or " + TOKEN_VARIABLE);
+		}
+		return new OperatorClient(CommonOptions.address(line, "host", "127.0.0.1:8080"), token);
+	}
+
+	Answer call(String method, String path, String body) throws IOException, InterruptedException {
+		URI uri = URI.create("http://" + this.address.getHostString() + ":" + this.address.getPort() + path);
+		HttpRequest request = HttpRequest.newBuilder(uri)
+			.timeout(TIMEOUT)
+			.header("Authorization", "Bearer " + this.token)
+			.method(method, HttpRequest.BodyPublishers.ofString(body))
+			.build();
+		HttpResponse<byte[]> response = HttpClient.newBuilder()
+			.version(HttpClient.Version.HTTP_1_1)
+			.connectTimeout(TIMEOUT)
+			.build()
+			.send(request, HttpResponse.BodyHandlers.ofByteArray());
+		return new Answer(response.statusCode(), Json.parse(response.body()).getOrElse(Json.object()));
+	}
+
+	/**
+	 * Answer of a host. Immutable.
+	 *
+	 * @param status HTTP status
+	 * @param body body as JSON
+	 */
+	record Answer(int status, JsonNode body) {
+
+		boolean ok() {
+			return this.status == 200;
+		}
+
+		String error() {
+			return this.body.path("error").path("message").asText("status " + this.status);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/cli/StandInCommand.java
@@ -0,0 +1,83 @@
+package carawayswitch.cli;
+
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.util.List;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+
+import carawayswitch.standin.EngineProfile;
+import carawayswitch.standin.EngineStandIn;
+import carawayswitch.standin.HostListStandIn;
+import carawayswitch.standin.LogStandIn;
+import carawayswitch.standin.ServiceStandIn;
+
+/**
+ * Runs a stand-in for the platform or an endpoint. Stateless.
+ */
+final class StandInCommand implements Command {
+
+	private static final List<String> KINDS = List.of("log", "hosts", "engine", "service");
+
+	@Override
+	public String name() {
+		return "stand-in";
+	}
+
+	@Override
+	public String synopsis() {
+		return "log|hosts|engine|service [OPTION...]";
+	}
+
+	@Override
+	public String summary() {
+		return "Runs a small stand-in for the platform's log or host list, an engine or a plain service.";
+	}
+
+	@Override
+	public List<String> examples() {
+		return List.of("carawayswitch stand-in log --listen 127.0.0.1:7001",
+				"carawayswitch stand-in engine --listen 127.0.0.1:7101 --speed slow");
+	}
+
+	@Override
+	public Options options() {
+		return new Options()
+			.addOption(CommonOptions.value("listen", "ADDRESS", "Address of the listener. Default: 127.0.0.1:0."))
+			.addOption(CommonOptions.value("name", "NAME", "Name in answers. Default: the kind."))
+			.addOption(CommonOptions.value("speed", "fast|slow", "Speed of an engine. Default: fast."))
+			.addOption(CommonOptions.value("latency", "MILLIS", "Latency of a service in milliseconds. Default: 5."))
+			.addOption(CommonOptions.value("lag", "MILLIS", "Lag of the host list in milliseconds. Default: 2000."))
+			.addOption(CommonOptions.value("retention", "RECORDS", "Records that the log keeps. Default: 100000."));
+	}
+
+	@Override
+	public ExitCode run(CommandLine line, PrintStream out) throws Exception {
+		String kind = line.getArgList().isEmpty() ? "" : line.getArgList().get(0);
+		InetSocketAddress address = CommonOptions.address(line, "listen", "127.0.0.1:0");
+		String name = line.getOptionValue("name", kind);
+		String url = switch (kind) {
+			case "log" ->
+				LogStandIn.start(address, (int) CommonOptions.number(line, "retention", 100_000, 1, 10_000_000)).url();
+			case "hosts" -> HostListStandIn.start(address, CommonOptions.number(line, "lag", 2000, 0, 600_000)).url();
+			case "engine" -> EngineStandIn.start(name, address, speed(line)).url();
+			case "service" ->
+				ServiceStandIn.start(name, address, CommonOptions.number(line, "latency", 5, 0, 600_000)).url();
+			default -> throw new UsageException("kind is \"" + kind + "\"; valid: " + KINDS);
+		};
+		out.println(kind + " at " + url);
+		Thread.currentThread().join();
+		return ExitCode.OK;
+	}
+
+	private static EngineProfile speed(CommandLine line) throws UsageException {
+		String speed = line.getOptionValue("speed", "fast");
+		return switch (speed) {
+			case "fast" -> EngineProfile.FAST;
+			case "slow" -> EngineProfile.SLOW;
+			default -> throw new UsageException("--speed is \"" + speed + "\"; valid: [fast, slow]");
+		};
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/cli/StatusCommand.java
@@ -0,0 +1,63 @@
+package carawayswitch.cli;
+
+import java.io.PrintStream;
+import java.util.List;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+
+/**
+ * Shows the state of a host. Stateless.
+ */
+final class StatusCommand implements Command {
+
+	@Override
+	public String name() {
+		return "status";
+	}
+
+	@Override
+	public String synopsis() {
+		return "[OPTION...]";
+	}
+
+	@Override
+	public String summary() {
+		return "Shows the state of a host: its view, its key slots and its endpoints.";
+	}
+
+	@Override
+	public List<String> examples() {
+		return List.of("carawayswitch status --host 127.0.0.1:8080");
+	}
+
+	@Override
+	public Options options() {
+		return CommonOptions.operator();
+	}
+
+	@Override
+	public ExitCode run(CommandLine line, PrintStream out) throws Exception {
+		OperatorClient.Answer answer = OperatorClient.of(line).call("GET", "/admin/status", "");
+		if (!answer.ok()) {
+			out.println(answer.error());
+			return ExitCode.FAILED;
+		}
+		if (line.hasOption("json")) {
+			out.println(answer.body().toPrettyString());
+			return ExitCode.OK;
+		}
+		Table table = new Table("KEY", "VALUE");
+		answer.body().fields().forEachRemaining((field) -> {
+			if (field.getValue().isArray()) {
+				field.getValue().forEach((element) -> table.row(field.getKey(), element.toString()));
+			}
+			else {
+				table.row(field.getKey(), field.getValue().asText());
+			}
+		});
+		out.print(table);
+		return ExitCode.OK;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/cli/TrialRequests.java
@@ -0,0 +1,177 @@
+package carawayswitch.cli;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+import carawayswitch.http.Json;
+import carawayswitch.outcome.TimedId;
+import carawayswitch.standin.EngineStandIn;
+import carawayswitch.standin.ExampleFleets;
+import carawayswitch.standin.TrialFleet;
+
+/**
+ * Sends a sample of each kind of work to a trial fleet and checks the answers. Not safe
+ * for use by several threads.
+ */
+final class TrialRequests {
+
+	private static final long READY_MILLIS = 20_000;
+
+	private static final long READY_CHECK_MILLIS = 50;
+
+	private static final List<Sample> SAMPLES = List.of(
+			new Sample("compliance draft", "sabarmati/vapi-yard", "report", "urgent", "assistant", 200, true, false),
+			new Sample("weigh-slip summary", "sabarmati/naroda-yard", "summary", "standard", "assistant", 40, false,
+					false),
+			new Sample("crate tag", "sabarmati/vapi-yard", "tag", "background", "assistant", 4, false, false),
+			new Sample("pickup booking", "sabarmati/vapi-yard", "booking", "urgent", "pickups", 0, false, true),
+			new Sample("crate status", "sabarmati/naroda-yard", "status", "background", "status", 0, false, false),
+			new Sample("size chat", "mwangaza/thika-buyers", "chat", "standard", "assistant", 30, true, false),
+			new Sample("order summary", "mwangaza/kibera-workshop", "summary", "standard", "assistant", 20, false,
+					false),
+			new Sample("deposit", "mwangaza/thika-buyers", "deposit", "urgent", "ledger", 0, false, true));
+
+	private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+	private final TrialFleet fleet;
+
+	private final List<String> hosts;
+
+	TrialRequests(TrialFleet fleet) {
+		this.fleet = fleet;
+		this.hosts = List.copyOf(fleet.hosts().keySet());
+	}
+
+	void awaitReady() throws IOException, InterruptedException {
+		long deadline = System.currentTimeMillis() + READY_MILLIS;
+		while (System.currentTimeMillis() < deadline) {
+			if (slotsHeld() && this.hosts.stream().allMatch((id) -> this.fleet.hosts().get(id).ready())) {
+				return;
+			}
+			TimeUnit.MILLISECONDS.sleep(READY_CHECK_MILLIS);
+		}
+		throw new IOException("the hosts are not ready after " + READY_MILLIS + " ms");
+	}
+
+	private boolean slotsHeld() throws IOException, InterruptedException {
+		for (String host : this.hosts) {
+			HttpRequest request = HttpRequest.newBuilder(URI.create(this.fleet.url(host) + "/admin/status"))
+				.header("Authorization", "Bearer " + TrialFleet.OPERATOR_TOKEN)
+				.build();
+			byte[] body = this.client.send(request, HttpResponse.BodyHandlers.ofByteArray()).body();
+			JsonNode status = Json.parse(body).getOrElse(Json.object());
+			boolean settled = status.path("slots_held").asInt() > 0 && status.path("slots_acquiring").asInt() == 0
+					&& status.path("hosts").size() == this.hosts.size()
+					&& status.path("keys_minted_from").asLong() < System.currentTimeMillis();
+			if (!settled) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	List<Result> sendAll() throws IOException, InterruptedException {
+		List<Result> results = new ArrayList<>();
+		for (int i = 0; i < SAMPLES.size(); i++) {
+			results.add(send(SAMPLES.get(i), this.hosts.get(i % this.hosts.size())));
+		}
+		return results;
+	}
+
+	private Result send(Sample sample, String host) throws IOException, InterruptedException {
+		HttpRequest.Builder builder = HttpRequest.newBuilder()
+			.header("Authorization", "Bearer " + ExampleFleets.token(sample.organisation()))
+			.header("X-Profile", sample.profile());
+		if (sample.keyed()) {
+			builder.header("Idempotency-Key", TimedId.next());
+		}
+		boolean engine = sample.tokens() > 0;
+		String path = engine ? "/v1/completions" : "/services/" + sample.service() + "/records";
+		String body = engine ? completion(sample) : sample.prompt();
+		builder.uri(URI.create(this.fleet.url(host) + path)).POST(HttpRequest.BodyPublishers.ofString(body));
+		long start = System.nanoTime();
+		HttpResponse<InputStream> response = this.client.send(builder.build(),
+				HttpResponse.BodyHandlers.ofInputStream());
+		int first = response.body().read();
+		long firstMillis = millisSince(start);
+		String rest = new String(response.body().readAllBytes(), StandardCharsets.UTF_8);
+		String answer = (first >= 0) ? (char) first + rest : "";
+		boolean right = response.statusCode() == 200 && right(sample, answer);
+		String outcome = response.headers().firstValue("X-Outcome").orElse(right ? "answered" : "unknown");
+		return new Result(sample.name(), sample.fleet(), sample.tier(),
+				response.headers().firstValue("X-Entry-Host").orElse(""),
+				response.headers().firstValue("X-Endpoint").orElse(""), firstMillis, millisSince(start), outcome,
+				right);
+	}
+
+	private static long millisSince(long start) {
+		return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - start);
+	}
+
+	private static String completion(Sample sample) {
+		ObjectNode tree = Json.object();
+		tree.put("model", sample.service()).put("prompt", sample.prompt());
+		tree.put("max_tokens", sample.tokens()).put("stream", sample.stream());
+		return new String(Json.bytes(tree), StandardCharsets.UTF_8);
+	}
+
+	private static boolean right(Sample sample, String answer) {
+		if (sample.tokens() == 0) {
+			JsonNode tree = Json.parse(answer.getBytes(StandardCharsets.UTF_8)).getOrElse(Json.object());
+			return tree.path("echo").asText().equals(sample.prompt());
+		}
+		String expected = EngineStandIn.expectedText(sample.prompt(), sample.tokens());
+		return sample.stream() ? streamedText(answer).equals(expected)
+				: Json.parse(answer.getBytes(StandardCharsets.UTF_8))
+					.map((tree) -> tree.path("choices").path(0).path("text").asText())
+					.getOrElse("")
+					.equals(expected);
+	}
+
+	private static String streamedText(String events) {
+		if (!events.endsWith("data: [DONE]\n\n")) {
+			return "";
+		}
+		StringBuilder text = new StringBuilder();
+		for (String line : events.split("\n")) {
+			if (line.startsWith("data: {")) {
+				Json.parse(line.substring("data: ".length()).getBytes(StandardCharsets.UTF_8))
+					.forEach((tree) -> text.append(tree.path("choices").path(0).path("text").asText()));
+			}
+		}
+		return text.toString();
+	}
+
+	private record Sample(String name, String organisation, String profile, String tier, String service, int tokens,
+			boolean stream, boolean keyed) {
+
+		String fleet() {
+			return this.organisation.substring(0, this.organisation.indexOf('/'));
+		}
+
+		String prompt() {
+			return this.name + " for " + this.organisation + ". ";
+		}
+
+	}
+
+	/**
+	 * Result of a sample. Immutable.
+	 */
+	record Result(String request, String fleet, String tier, String host, String endpoint, long firstMillis,
+			long totalMillis, String outcome, boolean right) {
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The command line.
+ */
+package carawayswitch.cli;
--- /dev/null
+++ b/src/main/java/carawayswitch/config/ConfigurationHolder.java
@@ -0,0 +1,80 @@
+package carawayswitch.config;
+
+import java.util.List;
+import java.util.concurrent.atomic.AtomicReference;
+
+import io.vavr.collection.Vector;
+
+import carawayswitch.message.ConfigurationSnapshot;
+import carawayswitch.message.LogRecord;
+
+/**
+ * Publishes the newest configuration to all threads. Invariant: the offset never
+ * decreases. Readers take the state without locks; writers are serialized.
+ */
+public final class ConfigurationHolder {
+
+	private static final int KEPT_RECORDS = 1000;
+
+	private final AtomicReference<ConfigurationState> state = new AtomicReference<>(ConfigurationState.EMPTY);
+
+	private Vector<LogRecord> recent = Vector.empty();
+
+	/**
+	 * Returns the newest state.
+	 * @return the state
+	 */
+	public ConfigurationState state() {
+		return this.state.get();
+	}
+
+	/**
+	 * Folds records that follow the newest state without a gap; others are ignored.
+	 * @param records records in the order of the log
+	 * @return the number of records that advanced the state
+	 */
+	public synchronized int fold(List<LogRecord> records) {
+		ConfigurationState next = this.state.get();
+		int folded = 0;
+		for (LogRecord logRecord : records) {
+			if (logRecord.offset() == next.offset() + 1) {
+				next = next.fold(logRecord.offset(), logRecord.payload());
+				this.recent = this.recent.append(logRecord);
+				folded++;
+			}
+		}
+		if (this.recent.size() > KEPT_RECORDS) {
+			this.recent = this.recent.drop(this.recent.size() - KEPT_RECORDS);
+		}
+		this.state.set(next);
+		return folded;
+	}
+
+	/**
+	 * Takes over a snapshot if it is newer than the state.
+	 * @param snapshot the snapshot
+	 * @return true if the state advanced
+	 */
+	public synchronized boolean restore(ConfigurationSnapshot snapshot) {
+		if (snapshot.offset() <= this.state.get().offset()) {
+			return false;
+		}
+		this.state.set(ConfigurationState.restore(snapshot));
+		this.recent = Vector.empty();
+		return true;
+	}
+
+	/**
+	 * Returns recent records for a peer that lags behind.
+	 * @param fromOffset first offset that the peer lacks
+	 * @param limit most records
+	 * @return the records, or an empty list if they are not kept
+	 */
+	public synchronized List<LogRecord> recordsFrom(long fromOffset, int limit) {
+		if (this.recent.isEmpty() || this.recent.head().offset() > fromOffset) {
+			return List.of();
+		}
+		return this.recent.drop((int) (fromOffset - this.recent.head().offset())).take(limit).asJava();
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/config/Names.java
@@ -0,0 +1,88 @@
+package carawayswitch.config;
+
+import java.util.List;
+
+import io.vavr.control.Either;
+
+import carawayswitch.outcome.ErrorKind;
+
+/**
+ * Resolves names of two fleets. A qualified name {@code fleet/name} stands for itself. A
+ * bare name stands for the entity of the caller's own fleet. Without a fleet of its own,
+ * a bare name must exist in one fleet only. Stateless.
+ */
+public final class Names {
+
+	private static final char SEPARATOR = '/';
+
+	private Names() {
+	}
+
+	/**
+	 * Returns the fleet of a qualified name.
+	 * @param qualified the qualified name
+	 * @return the fleet, or empty if the name is not qualified
+	 */
+	public static String fleet(String qualified) {
+		int separator = qualified.indexOf(SEPARATOR);
+		return (separator < 0) ? "" : qualified.substring(0, separator);
+	}
+
+	/**
+	 * Qualifies a name by a fleet unless it is qualified already.
+	 * @param fleet the fleet
+	 * @param name the name
+	 * @return the qualified name
+	 */
+	public static String qualify(String fleet, String name) {
+		return (name.indexOf(SEPARATOR) >= 0) ? name : fleet + SEPARATOR + name;
+	}
+
+	/**
+	 * Resolves a name among known qualified names.
+	 * @param name the name as given
+	 * @param fleet fleet of the caller, or empty
+	 * @param known the known qualified names
+	 * @param absent kind of the error if no entity has the name
+	 * @return the qualified name, or the error
+	 */
+	public static Either<Unresolved, String> resolve(String name, String fleet, Iterable<String> known,
+			ErrorKind absent) {
+		List<String> all = io.vavr.collection.List.ofAll(known).asJava();
+		if (all.contains(name)) {
+			return Either.right(name);
+		}
+		String own = fleet + SEPARATOR + name;
+		if (!fleet.isEmpty() && all.contains(own)) {
+			return Either.right(own);
+		}
+		List<String> candidates = all.stream().filter((other) -> other.endsWith(SEPARATOR + name)).toList();
+		if (candidates.size() == 1 && fleet.isEmpty()) {
+			return Either.right(candidates.get(0));
+		}
+		if (candidates.isEmpty()) {
+			return Either.left(new Unresolved(absent, name, all.stream().limit(20).toList()));
+		}
+		return Either.left(new Unresolved(ErrorKind.AMBIGUOUS_NAME, name, candidates));
+	}
+
+	/**
+	 * A name that could not be resolved. Immutable.
+	 *
+	 * @param kind kind of the error
+	 * @param name the name as given
+	 * @param candidates qualified names that the caller may have meant
+	 */
+	public record Unresolved(ErrorKind kind, String name, List<String> candidates) {
+
+		/**
+		 * Describes the error.
+		 * @return text that names the value and the valid ones
+		 */
+		public String message() {
+			return "\"" + this.name + "\": " + this.kind.message() + "; valid: " + this.candidates;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/config/Tier.java
@@ -0,0 +1,22 @@
+package carawayswitch.config;
+
+/**
+ * A fleet's name for an urgency. Immutable.
+ *
+ * @param urgency shared urgency, from 0 (least) to {@value #HIGHEST_URGENCY}
+ */
+public record Tier(int urgency) implements Entity {
+
+	/** The highest urgency. */
+	public static final int HIGHEST_URGENCY = 4;
+
+	/** The number of urgencies. */
+	public static final int URGENCIES = HIGHEST_URGENCY + 1;
+
+	@Override
+	public String problem() {
+		boolean valid = this.urgency >= 0 && this.urgency <= HIGHEST_URGENCY;
+		return valid ? "" : "urgency is " + this.urgency + "; valid: 0 to " + HIGHEST_URGENCY;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/dispatch/Attempt.java
@@ -0,0 +1,103 @@
+package carawayswitch.dispatch;
+
+import carawayswitch.config.Profile;
+import carawayswitch.message.EndpointDigest;
+import carawayswitch.message.ForwardRequest;
+import carawayswitch.message.ReplyChunk;
+import carawayswitch.message.ReplyEnd;
+import carawayswitch.message.ReplyHead;
+import carawayswitch.outcome.AttemptState;
+import carawayswitch.outcome.ErrorKind;
+import carawayswitch.outcome.NotRunProof;
+import carawayswitch.outcome.Outcome;
+import carawayswitch.schedule.Work;
+
+/**
+ * One attempt at the owner of its endpoint. Invariant: the sink receives exactly one end;
+ * {@code not_run} only with a {@link NotRunProof}. Confined to the thread of the
+ * endpoint's event loop.
+ */
+final class Attempt {
+
+	final ForwardRequest request;
+
+	final Profile profile;
+
+	final AttemptState state = new AttemptState();
+
+	private final ReplySink sink;
+
+	Work work;
+
+	int tokens;
+
+	int run;
+
+	boolean preempting;
+
+	/** Number of tokens at the last resumption, or -1. */
+	int resumedAtTokens = -1;
+
+	private boolean headSent;
+
+	private int chunks;
+
+	private boolean ended;
+
+	Attempt(ForwardRequest request, Profile profile, Work work, ReplySink sink) {
+		this.request = request;
+		this.profile = profile;
+		this.work = work;
+		this.sink = sink;
+	}
+
+	static String id(String requestId, int attempt) {
+		return requestId + "#" + attempt;
+	}
+
+	String id() {
+		return id(this.request.requestId(), this.request.attempt());
+	}
+
+	boolean ended() {
+		return this.ended;
+	}
+
+	void head(int status, String contentType) {
+		if (!this.headSent && !this.ended) {
+			this.headSent = true;
+			this.sink.head(new ReplyHead(this.request.requestId(), this.request.attempt(), status, contentType));
+		}
+	}
+
+	void body(byte[] bytes) {
+		if (!this.ended) {
+			this.sink.chunk(new ReplyChunk(this.request.requestId(), this.request.attempt(), this.chunks++, bytes));
+		}
+	}
+
+	void answered(EndpointDigest digest) {
+		end(Outcome.ANSWERED, "", 0, digest);
+	}
+
+	void notRun(NotRunProof proof, ErrorKind kind, long retryAfterMillis, EndpointDigest digest) {
+		if (proof != null) {
+			end(Outcome.NOT_RUN, kind.label(), retryAfterMillis, digest);
+		}
+	}
+
+	void unknown(ErrorKind kind, EndpointDigest digest) {
+		end(Outcome.UNKNOWN, kind.label(), 0, digest);
+	}
+
+	private void end(Outcome outcome, String errorKind, long retryAfterMillis, EndpointDigest digest) {
+		if (this.ended) {
+			return;
+		}
+		this.ended = true;
+		int wasted = (outcome != Outcome.ANSWERED && this.state.written()) ? this.request.promptTokens() : 0;
+		this.sink.end(new ReplyEnd(this.request.requestId(), this.request.attempt(), outcome.label(), errorKind,
+				this.chunks, retryAfterMillis, wasted, digest));
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/dispatch/EndpointOwner.java
@@ -0,0 +1,405 @@
+package carawayswitch.dispatch;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import io.activej.reactor.nio.NioReactor;
+import io.github.resilience4j.circuitbreaker.CircuitBreaker;
+import io.github.resilience4j.circuitbreaker.CircuitBreakerConfig;
+
+import carawayswitch.config.ConfigurationHolder;
+import carawayswitch.config.ConfigurationState;
+import carawayswitch.config.Endpoint;
+import carawayswitch.config.EntityKind;
+import carawayswitch.config.Profile;
+import carawayswitch.endpoint.AnswerListener;
+import carawayswitch.endpoint.EndpointAdapter;
+import carawayswitch.endpoint.EndpointCall;
+import carawayswitch.log.LogEvent;
+import carawayswitch.message.EndpointDigest;
+import carawayswitch.message.ForwardRequest;
+import carawayswitch.outcome.ErrorKind;
+import carawayswitch.schedule.EndpointScheduler;
+import carawayswitch.schedule.LengthEstimate;
+import carawayswitch.schedule.Offer;
+import carawayswitch.schedule.Work;
+import carawayswitch.schedule.WorkFactory;
+
+/**
+ * Holds the queue of one endpoint and carries its attempts. Confined to the thread of its
+ * event loop; {@link #digest} and {@link #inFlight} may be read by any thread.
+ */
+final class EndpointOwner {
+
+	private static final int OK = 200;
+
+	private static final long TICK_MILLIS = 20;
+
+	/** Time in milliseconds for which a failing endpoint gets no work. */
+	private static final long OPEN_MILLIS = 1000;
+
+	private static final CircuitBreakerConfig BREAKER = CircuitBreakerConfig.custom()
+		.slidingWindowSize(20)
+		.minimumNumberOfCalls(5)
+		.failureRateThreshold(50)
+		.waitDurationInOpenState(Duration.ofMillis(OPEN_MILLIS))
+		.permittedNumberOfCallsInHalfOpenState(2)
+		.build();
+
+	private final NioReactor reactor;
+
+	private final String id;
+
+	private final EndpointAdapter adapter;
+
+	private final EndpointScheduler scheduler;
+
+	private final ConfigurationHolder configuration;
+
+	private final LengthEstimate lengths = new LengthEstimate();
+
+	private final Map<String, Attempt> attempts = new HashMap<>();
+
+	private final CircuitBreaker breaker;
+
+	private final boolean engine;
+
+	private volatile EndpointDigest digest;
+
+	private volatile int inFlight;
+
+	private boolean closed;
+
+	private long failedAt;
+
+	EndpointOwner(NioReactor reactor, String id, Endpoint endpoint, boolean engine, EndpointScheduler.Bounds bounds,
+			EndpointAdapter adapter, ConfigurationHolder configuration) {
+		this.reactor = reactor;
+		this.id = id;
+		this.adapter = adapter;
+		this.engine = engine;
+		this.configuration = configuration;
+		this.scheduler = new EndpointScheduler(id, endpoint, engine, bounds);
+		this.breaker = CircuitBreaker.of(id, BREAKER);
+		this.digest = this.scheduler.digest(0);
+	}
+
+	void start() {
+		this.reactor.delayBackground(TICK_MILLIS, () -> {
+			if (!this.closed) {
+				stopLateWork(this.reactor.currentTimeMillis());
+				probeAgain(this.reactor.currentTimeMillis());
+				pump();
+				start();
+			}
+		});
+	}
+
+	void close() {
+		this.closed = true;
+	}
+
+	EndpointDigest digest() {
+		return this.digest;
+	}
+
+	int inFlight() {
+		return this.inFlight;
+	}
+
+	void submit(ForwardRequest request, ReplySink sink) {
+		long now = this.reactor.currentTimeMillis();
+		ConfigurationState state = this.configuration.state();
+		String attemptId = Attempt.id(request.requestId(), request.attempt());
+		Profile profile = state.find(Profile.class, EntityKind.PROFILE, request.profile()).getOrNull();
+		Work work = WorkFactory.work(request, attemptId, state, this.lengths, now);
+		Attempt attempt = new Attempt(request, profile, work, sink);
+		if (work == null) {
+			refuse(attempt, ErrorKind.UNKNOWN_PROFILE, 0);
+			return;
+		}
+		if (this.attempts.containsKey(attemptId)) {
+			return;
+		}
+		if (!this.breaker.tryAcquirePermission()) {
+			refuse(attempt, ErrorKind.ENDPOINT_UNREACHABLE, OPEN_MILLIS);
+			return;
+		}
+		Offer offer = this.scheduler.offer(work, now);
+		offer.dropped().forEach((dropped) -> dropQueued(dropped, ErrorKind.OVERLOADED));
+		if (!offer.accepted()) {
+			this.breaker.releasePermission();
+			refuse(attempt, offer.refusal(), offer.retryAfterMillis());
+			return;
+		}
+		this.attempts.put(attemptId, attempt);
+		pump();
+	}
+
+	private void refuse(Attempt attempt, ErrorKind kind, long retryAfterMillis) {
+		EndpointDigest current = refreshDigest();
+		attempt.state.close().forEach((proof) -> attempt.notRun(proof, kind, retryAfterMillis, current));
+	}
+
+	private void dropQueued(Work work, ErrorKind kind) {
+		Attempt attempt = this.attempts.remove(work.id());
+		if (attempt == null) {
+			return;
+		}
+		this.breaker.releasePermission();
+		if (attempt.state.written()) {
+			attempt.unknown(ErrorKind.STREAM_BROKEN, refreshDigest());
+		}
+		else {
+			refuse(attempt, kind, 0);
+		}
+	}
+
+	/**
+	 * Stops an attempt.
+	 * @param requestId id of the request
+	 * @param number number of the attempt
+	 * @return true if it was never dispatched
+	 */
+	boolean cancel(String requestId, int number) {
+		String attemptId = Attempt.id(requestId, number);
+		Attempt attempt = this.attempts.get(attemptId);
+		if (attempt == null) {
+			return false;
+		}
+		boolean neverDispatched = attempt.state.close().isDefined();
+		if (neverDispatched) {
+			this.scheduler.cancelQueued(attemptId);
+			this.attempts.remove(attemptId);
+			this.breaker.releasePermission();
+			attempt.state.close().forEach((proof) -> attempt.notRun(proof, ErrorKind.CALLER_GONE, 0, refreshDigest()));
+		}
+		else if (attempt.profile.idempotent() || this.engine) {
+			this.scheduler.cancelQueued(attemptId);
+			this.adapter.cancel(attemptId);
+			this.breaker.releasePermission();
+			finish(attempt);
+			attempt.unknown(ErrorKind.CALLER_GONE, refreshDigest());
+			pump();
+		}
+		return neverDispatched;
+	}
+
+	private void pump() {
+		long now = this.reactor.currentTimeMillis();
+		this.scheduler.takeExpired(now).forEach((work) -> dropQueued(work, ErrorKind.DEADLINE_CANNOT_BE_MET));
+		for (Work work = this.scheduler.next(now); work != null; work = this.scheduler.next(now)) {
+			dispatch(this.attempts.get(work.id()));
+		}
+		Work victim = this.scheduler.victim(now);
+		if (victim != null) {
+			preempt(this.attempts.get(victim.id()));
+		}
+		refreshDigest();
+	}
+
+	private void stopLateWork(long now) {
+		List<Attempt> late = this.attempts.values()
+			.stream()
+			.filter((attempt) -> now > attempt.work.deadlineMillis())
+			.toList();
+		for (Attempt attempt : late) {
+			if (attempt.state.written()) {
+				stopRunning(attempt);
+			}
+			else {
+				this.scheduler.cancelQueued(attempt.id());
+				dropQueued(attempt.work, ErrorKind.DEADLINE_CANNOT_BE_MET);
+			}
+		}
+	}
+
+	private void stopRunning(Attempt attempt) {
+		if (this.engine) {
+			this.adapter.cancel(attempt.id());
+		}
+		if (attempt.tokens == 0) {
+			failed("no answer before the deadline");
+		}
+		else {
+			this.breaker.releasePermission();
+		}
+		this.scheduler.cancelQueued(attempt.id());
+		finish(attempt);
+		attempt.unknown(ErrorKind.DEADLINE_EXCEEDED, refreshDigest());
+	}
+
+	private void probeAgain(long now) {
+		if (this.breaker.getState() == CircuitBreaker.State.OPEN && now - this.failedAt >= OPEN_MILLIS) {
+			this.breaker.transitionToHalfOpenState();
+		}
+	}
+
+	private void failed(String reason) {
+		this.failedAt = this.reactor.currentTimeMillis();
+		this.breaker.onError(0, TimeUnit.MILLISECONDS, new IOException(reason));
+	}
+
+	private void dispatch(Attempt attempt) {
+		if (attempt == null) {
+			return;
+		}
+		Listener listener = new Listener(attempt, ++attempt.run);
+		if (attempt.state.written()) {
+			attempt.resumedAtTokens = attempt.tokens;
+			this.adapter.resume(attempt.id(), attempt.tokens, listener);
+		}
+		else if (attempt.state.beginWrite()) {
+			ForwardRequest request = attempt.request;
+			this.adapter.send(new EndpointCall(attempt.id(), request.method(), request.path(), request.contentType(),
+					request.body(), request.idempotencyKey(), attempt.profile.idempotent()), listener);
+		}
+	}
+
+	private void preempt(Attempt attempt) {
+		if (attempt != null) {
+			attempt.preempting = true;
+			LogEvent.WORK_PREEMPTED.log("request", attempt.id(), "endpoint", this.id, "tokens", attempt.tokens);
+			this.adapter.cancel(attempt.id());
+		}
+	}
+
+	private void finish(Attempt attempt) {
+		attempt.run++;
+		this.attempts.remove(attempt.id());
+		int received = this.scheduler.finished(attempt.id(), this.reactor.currentTimeMillis());
+		if (received > 0) {
+			this.lengths.onFinished(attempt.request.profile(), attempt.request.organisation(), attempt.tokens);
+		}
+	}
+
+	private EndpointDigest refreshDigest() {
+		this.inFlight = this.attempts.size();
+		EndpointDigest current = this.scheduler.digest(this.reactor.currentTimeMillis());
+		boolean open = this.breaker.getState() == CircuitBreaker.State.OPEN;
+		this.digest = open ? new EndpointDigest(current.endpoint(), current.queuedMillis(), current.running(),
+				current.lowestUrgency(), current.limit(), true, current.millisPerToken(),
+				current.prefillMillisPerToken()) : current;
+		return this.digest;
+	}
+
+	void leaving(boolean value) {
+		this.scheduler.leaving(value);
+		refreshDigest();
+	}
+
+	void refuseQueued() {
+		this.scheduler.queued().forEach((work) -> {
+			this.scheduler.cancelQueued(work.id());
+			dropQueued(work, ErrorKind.HOST_STOPPING);
+		});
+	}
+
+	/**
+	 * Receives the answer of one run of an attempt. Answers of earlier runs go nowhere.
+	 */
+	private final class Listener implements AnswerListener {
+
+		private final Attempt attempt;
+
+		private final int run;
+
+		private boolean resumeRefused;
+
+		Listener(Attempt attempt, int run) {
+			this.attempt = attempt;
+			this.run = run;
+		}
+
+		private boolean stale() {
+			return this.run != this.attempt.run;
+		}
+
+		@Override
+		public void onHead(int status, String contentType) {
+			boolean resuming = this.attempt.resumedAtTokens >= 0;
+			this.resumeRefused = resuming && status != OK;
+			if (!stale() && !resuming) {
+				this.attempt.head(status, contentType);
+			}
+		}
+
+		@Override
+		public void onBody(byte[] body, int tokens) {
+			if (stale() || this.resumeRefused) {
+				return;
+			}
+			this.attempt.tokens += tokens;
+			EndpointOwner.this.scheduler.progressed(this.attempt.id(), this.attempt.tokens,
+					EndpointOwner.this.reactor.currentTimeMillis());
+			this.attempt.body(body);
+		}
+
+		@Override
+		public void onWhole() {
+			if (stale()) {
+				return;
+			}
+			if (this.resumeRefused) {
+				onBroken("the engine cannot resume");
+				return;
+			}
+			EndpointOwner.this.breaker.onSuccess(0, TimeUnit.MILLISECONDS);
+			finish(this.attempt);
+			this.attempt.answered(refreshDigest());
+			pump();
+		}
+
+		@Override
+		public void onBroken(String reason) {
+			if (stale()) {
+				return;
+			}
+			if (this.attempt.preempting) {
+				requeue();
+				return;
+			}
+			failed(reason);
+			if (EndpointOwner.this.adapter.resumable() && this.attempt.tokens > this.attempt.resumedAtTokens) {
+				dispatch(this.attempt);
+				return;
+			}
+			finish(this.attempt);
+			ErrorKind kind = (this.attempt.tokens > 0) ? ErrorKind.STREAM_BROKEN : ErrorKind.CONNECTION_LOST;
+			this.attempt.unknown(kind, refreshDigest());
+			pump();
+		}
+
+		private void requeue() {
+			this.attempt.preempting = false;
+			this.attempt.run++;
+			long now = EndpointOwner.this.reactor.currentTimeMillis();
+			EndpointOwner.this.scheduler.preempted(this.attempt.id(), this.attempt.work, now);
+			pump();
+		}
+
+		@Override
+		public void onNeverSent(String reason) {
+			if (stale()) {
+				return;
+			}
+			failed(reason);
+			boolean first = this.attempt.resumedAtTokens < 0;
+			finish(this.attempt);
+			if (first) {
+				this.attempt.notRun(this.attempt.state.connectionNeverEstablished(), ErrorKind.ENDPOINT_UNREACHABLE, 0,
+						refreshDigest());
+			}
+			else {
+				this.attempt.unknown(ErrorKind.STREAM_BROKEN, refreshDigest());
+			}
+			pump();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/dispatch/Forwarder.java
@@ -0,0 +1,304 @@
+package carawayswitch.dispatch;
+
+import java.util.List;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.function.Consumer;
+
+import io.activej.reactor.Reactor;
+
+import carawayswitch.message.CancelReply;
+import carawayswitch.message.CancelRequest;
+import carawayswitch.message.ForwardRequest;
+import carawayswitch.message.Member;
+import carawayswitch.message.Message;
+import carawayswitch.message.ReplyChunk;
+import carawayswitch.message.ReplyEnd;
+import carawayswitch.message.ReplyHead;
+import carawayswitch.outcome.ErrorKind;
+import carawayswitch.outcome.Outcome;
+import carawayswitch.transport.PeerTransport;
+
+/**
+ * Sends attempts to the owners of endpoints, on this host or others, and brings the
+ * answers back to the thread of the request. Answers are matched by request, attempt and
+ * host; late, repeated, reordered or foreign ones go nowhere. If the connection to an
+ * owner is lost, the owner is asked whether it dispatched the attempt. Safe for use by
+ * several threads.
+ */
+public final class Forwarder {
+
+	/** Longest wait in milliseconds for an owner's word on a cancelled attempt. */
+	static final long CANCEL_MILLIS = 2000;
+
+	private final String host;
+
+	private final EndpointOwners owners;
+
+	private final PeerTransport transport;
+
+	private final Reactor transportReactor;
+
+	private final ConcurrentMap<String, Pending> pending = new ConcurrentHashMap<>();
+
+	/**
+	 * Creates a forwarder.
+	 * @param host id of this host
+	 * @param owners owners on this host
+	 * @param transport connections to other hosts
+	 * @param transportReactor event loop of the transport
+	 */
+	public Forwarder(String host, EndpointOwners owners, PeerTransport transport, Reactor transportReactor) {
+		this.host = host;
+		this.owners = owners;
+		this.transport = transport;
+		this.transportReactor = transportReactor;
+	}
+
+	/**
+	 * Sends an attempt.
+	 * @param owner the owner of the endpoint
+	 * @param request the attempt
+	 * @param reactor event loop of the request
+	 * @param sink receives the answer on that event loop
+	 */
+	public void forward(Member owner, ForwardRequest request, Reactor reactor, ReplySink sink) {
+		String id = Attempt.id(request.requestId(), request.attempt());
+		Pending entry = new Pending(owner, request, reactor, sink);
+		this.pending.put(id, entry);
+		if (owner.host().equals(this.host)) {
+			this.owners.submit(request, new LocalSink(id));
+		}
+		else {
+			this.transport.send(owner.host(), request,
+					() -> settle(id, entry, Outcome.NOT_RUN, ErrorKind.ENDPOINT_UNREACHABLE));
+		}
+	}
+
+	/**
+	 * Stops an attempt whose caller went away.
+	 * @param requestId id of the request
+	 * @param attempt number of the attempt
+	 */
+	public void cancel(String requestId, int attempt) {
+		Pending entry = this.pending.get(Attempt.id(requestId, attempt));
+		if (entry != null) {
+			sendCancel(entry);
+		}
+	}
+
+	private void sendCancel(Pending entry) {
+		ForwardRequest request = entry.request;
+		CancelRequest cancel = new CancelRequest(request.requestId(), request.attempt(), entry.owner.incarnation(),
+				request.endpoint());
+		if (entry.owner.host().equals(this.host)) {
+			this.owners.cancel(cancel, System.currentTimeMillis(), (neverDispatched) -> onCancelReply(this.host,
+					new CancelReply(request.requestId(), request.attempt(), neverDispatched)));
+		}
+		else {
+			this.transport.send(entry.owner.host(), cancel);
+		}
+	}
+
+	/**
+	 * Takes in an answer of another host.
+	 * @param peer id of the host
+	 * @param message the message
+	 * @return true if the message was one of an answer
+	 */
+	public boolean onMessage(String peer, Message message) {
+		if (message instanceof ReplyHead head) {
+			deliver(peer, head.requestId(), head.attempt(), (entry) -> entry.onHead(head));
+		}
+		else if (message instanceof ReplyChunk chunk) {
+			deliver(peer, chunk.requestId(), chunk.attempt(), (entry) -> entry.onChunk(chunk));
+		}
+		else if (message instanceof ReplyEnd end) {
+			onEnd(peer, end);
+		}
+		else if (message instanceof CancelReply reply) {
+			onCancelReply(peer, reply);
+		}
+		else {
+			return false;
+		}
+		return true;
+	}
+
+	private void deliver(String peer, String requestId, int attempt, Consumer<Pending> action) {
+		Pending entry = this.pending.get(Attempt.id(requestId, attempt));
+		if (entry != null && entry.owner.host().equals(peer)) {
+			run(entry, action);
+		}
+	}
+
+	private static void run(Pending entry, Consumer<Pending> action) {
+		if (entry.reactor.inReactorThread()) {
+			action.accept(entry);
+		}
+		else {
+			entry.reactor.execute(() -> action.accept(entry));
+		}
+	}
+
+	private void onEnd(String peer, ReplyEnd end) {
+		String id = Attempt.id(end.requestId(), end.attempt());
+		Pending entry = this.pending.get(id);
+		if (entry != null && entry.owner.host().equals(peer) && this.pending.remove(id, entry)) {
+			run(entry, (target) -> target.onEnd(end));
+		}
+	}
+
+	private void onCancelReply(String peer, CancelReply reply) {
+		String id = Attempt.id(reply.requestId(), reply.attempt());
+		Pending entry = this.pending.get(id);
+		if (entry == null || !entry.owner.host().equals(peer)) {
+			return;
+		}
+		if (reply.neverDispatched()) {
+			settle(id, entry, Outcome.NOT_RUN, ErrorKind.ENDPOINT_UNREACHABLE);
+		}
+		else if (entry.lost) {
+			settle(id, entry, Outcome.UNKNOWN, ErrorKind.CONNECTION_LOST);
+		}
+	}
+
+	private void settle(String id, Pending entry, Outcome outcome, ErrorKind kind) {
+		if (this.pending.remove(id, entry)) {
+			ReplyEnd end = new ReplyEnd(entry.request.requestId(), entry.request.attempt(), outcome.label(),
+					kind.label(), 0, 0, 0, null);
+			run(entry, (target) -> target.sink.end(end));
+		}
+	}
+
+	/**
+	 * Asks a host, over a new connection, what became of the attempts sent to it. To be
+	 * called on the thread of the transport.
+	 * @param peer id of the host
+	 */
+	public void onPeerLost(String peer) {
+		List<String> lost = this.pending.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().owner.host().equals(peer) && !entry.getValue().lost)
+			.map((entry) -> entry.getKey())
+			.toList();
+		for (String id : lost) {
+			Pending entry = this.pending.get(id);
+			if (entry != null) {
+				resolve(id, entry);
+			}
+		}
+	}
+
+	private void resolve(String id, Pending entry) {
+		entry.lost = true;
+		sendCancel(entry);
+		this.transportReactor.delayBackground(CANCEL_MILLIS,
+				() -> settle(id, entry, Outcome.UNKNOWN, ErrorKind.CONNECTION_LOST));
+	}
+
+	/**
+	 * Ends an attempt whose answer is overdue, after asking its owner.
+	 * @param requestId id of the request
+	 * @param attempt number of the attempt
+	 */
+	public void giveUp(String requestId, int attempt) {
+		String id = Attempt.id(requestId, attempt);
+		Pending entry = this.pending.get(id);
+		if (entry != null) {
+			this.transportReactor.execute(() -> resolve(id, entry));
+		}
+	}
+
+	/**
+	 * Returns the number of attempts without an end.
+	 * @return number of attempts
+	 */
+	public int inFlight() {
+		return this.pending.size();
+	}
+
+	/**
+	 * An attempt without an end. The receiving state is confined to the thread of the
+	 * request.
+	 */
+	private static final class Pending {
+
+		private final Member owner;
+
+		private final ForwardRequest request;
+
+		private final Reactor reactor;
+
+		private final ReplySink sink;
+
+		private volatile boolean lost;
+
+		private int nextChunk;
+
+		private boolean gap;
+
+		Pending(Member owner, ForwardRequest request, Reactor reactor, ReplySink sink) {
+			this.owner = owner;
+			this.request = request;
+			this.reactor = reactor;
+			this.sink = sink;
+		}
+
+		void onHead(ReplyHead head) {
+			this.sink.head(head);
+		}
+
+		void onChunk(ReplyChunk chunk) {
+			if (chunk.sequence() == this.nextChunk && !this.gap) {
+				this.nextChunk++;
+				this.sink.chunk(chunk);
+			}
+			else {
+				this.gap |= chunk.sequence() > this.nextChunk;
+			}
+		}
+
+		void onEnd(ReplyEnd end) {
+			boolean whole = Outcome.ofLabel(end.outcome()) != Outcome.ANSWERED || end.chunks() == this.nextChunk;
+			this.sink.end(whole ? end : new ReplyEnd(end.requestId(), end.attempt(), Outcome.UNKNOWN.label(),
+					ErrorKind.STREAM_BROKEN.label(), end.chunks(), 0, end.wastedPromptTokens(), end.digest()));
+		}
+
+	}
+
+	/**
+	 * Receives the answer of an owner on this host.
+	 */
+	private final class LocalSink implements ReplySink {
+
+		private final String id;
+
+		LocalSink(String id) {
+			this.id = id;
+		}
+
+		@Override
+		public void head(ReplyHead head) {
+			Pending entry = Forwarder.this.pending.get(this.id);
+			if (entry != null) {
+				run(entry, (target) -> target.onHead(head));
+			}
+		}
+
+		@Override
+		public void chunk(ReplyChunk chunk) {
+			Pending entry = Forwarder.this.pending.get(this.id);
+			if (entry != null) {
+				run(entry, (target) -> target.onChunk(chunk));
+			}
+		}
+
+		@Override
+		public void end(ReplyEnd end) {
+			onEnd(Forwarder.this.host, end);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/endpoint/EngineAdapter.java
@@ -0,0 +1,140 @@
+package carawayswitch.endpoint;
+
+import java.nio.charset.StandardCharsets;
+
+import io.activej.http.HttpHeader;
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+
+import carawayswitch.http.HttpCaller;
+import carawayswitch.http.Json;
+
+/**
+ * Carries calls to an engine over its HTTP interface. Answers are event streams; one is
+ * whole only with its end mark. Confined to the thread of the endpoint's event loop.
+ */
+public final class EngineAdapter implements EndpointAdapter {
+
+	/** Header with the id of the attempt. */
+	public static final HttpHeader REQUEST_ID = HttpHeaders.of("X-Request-Id");
+
+	/** Header with the idempotency key. */
+	public static final HttpHeader IDEMPOTENCY_KEY = HttpHeaders.of("Idempotency-Key");
+
+	private static final String EVENT_STREAM = "text/event-stream";
+
+	private static final int OK = 200;
+
+	private final HttpCaller caller;
+
+	private final String address;
+
+	/**
+	 * Creates an adapter.
+	 * @param caller sends the requests
+	 * @param address base URL of the engine
+	 */
+	public EngineAdapter(HttpCaller caller, String address) {
+		this.caller = caller;
+		this.address = address;
+	}
+
+	@Override
+	public void send(EndpointCall call, AnswerListener listener) {
+		post(call.path(), call.attemptId(), call.body(), call.idempotent(), listener);
+	}
+
+	@Override
+	public void resume(String attemptId, int receivedTokens, AnswerListener listener) {
+		byte[] body = Json.bytes(Json.object().put("request_id", attemptId).put("received", receivedTokens));
+		post("/resume", attemptId, body, true, listener);
+	}
+
+	private void post(String path, String attemptId, byte[] body, boolean idempotent, AnswerListener listener) {
+		HttpRequest request = HttpRequest.post(this.address + path)
+			.withHeader(HttpHeaders.CONTENT_TYPE, "application/json")
+			.withHeader(REQUEST_ID, attemptId)
+			.withBody(body)
+			.build();
+		this.caller.send(request, idempotent).subscribe((response, failure) -> {
+			if (failure == null) {
+				pass(response, listener);
+			}
+			else if (this.caller.neverSent(request)) {
+				listener.onNeverSent(String.valueOf(failure.getMessage()));
+			}
+			else {
+				listener.onBroken(String.valueOf(failure.getMessage()));
+			}
+		});
+	}
+
+	private void pass(HttpResponse response, AnswerListener listener) {
+		String contentType = response.getHeader(HttpHeaders.CONTENT_TYPE);
+		boolean stream = response.getCode() == OK && contentType != null && contentType.startsWith(EVENT_STREAM);
+		listener.onHead(response.getCode(), (contentType != null) ? contentType : "");
+		EventStreamParser parser = stream ? new EventStreamParser() : null;
+		BodyReader.read(response.takeBodyStream(), new BodyReader.Consumer() {
+			@Override
+			public void onPiece(byte[] piece) {
+				passPiece(piece, parser, listener);
+			}
+
+			@Override
+			public void onEnd() {
+				endOfBody(parser, listener);
+			}
+
+			@Override
+			public void onFailure(String reason) {
+				listener.onBroken(reason);
+			}
+		});
+	}
+
+	private static void passPiece(byte[] piece, EventStreamParser parser, AnswerListener listener) {
+		if (parser == null) {
+			listener.onBody(piece, 0);
+			return;
+		}
+		EventStreamParser.Events events = parser.accept(piece);
+		if (events.count() > 0) {
+			listener.onBody(events.bytes(), events.count());
+		}
+	}
+
+	private static void endOfBody(EventStreamParser parser, AnswerListener listener) {
+		if (parser == null || parser.ended()) {
+			listener.onWhole();
+		}
+		else {
+			listener.onBroken("the event stream ended without its end mark");
+		}
+	}
+
+	@Override
+	public void cancel(String attemptId) {
+		byte[] body = Json.bytes(Json.object().put("request_id", attemptId));
+		HttpRequest request = HttpRequest.post(this.address + "/cancel").withBody(body).build();
+		this.caller.send(request, true).then((response) -> response.loadBody()).subscribe((done, failure) -> {
+			if (failure != null) {
+				this.caller.neverSent(request);
+			}
+		});
+	}
+
+	@Override
+	public boolean resumable() {
+		return true;
+	}
+
+	/**
+	 * Returns the bytes that end a whole event stream.
+	 * @return the end mark
+	 */
+	public static byte[] endMark() {
+		return EventStreamParser.END_MARK.getBytes(StandardCharsets.UTF_8);
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/endpoint/ServiceAdapter.java
@@ -0,0 +1,90 @@
+package carawayswitch.endpoint;
+
+import io.activej.http.HttpHeaders;
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+
+import carawayswitch.http.HttpCaller;
+
+/**
+ * Carries calls to a plain service over HTTP and passes answers through. Confined to the
+ * thread of the endpoint's event loop.
+ */
+public final class ServiceAdapter implements EndpointAdapter {
+
+	private final HttpCaller caller;
+
+	private final String address;
+
+	/**
+	 * Creates an adapter.
+	 * @param caller sends the requests
+	 * @param address base URL of the service
+	 */
+	public ServiceAdapter(HttpCaller caller, String address) {
+		this.caller = caller;
+		this.address = address;
+	}
+
+	@Override
+	public void send(EndpointCall call, AnswerListener listener) {
+		HttpRequest.Builder builder = HttpRequest.builder(HttpMethod.valueOf(call.method()),
+				this.address + call.path());
+		builder.withHeader(EngineAdapter.REQUEST_ID, call.attemptId());
+		if (!call.contentType().isEmpty()) {
+			builder.withHeader(HttpHeaders.CONTENT_TYPE, call.contentType());
+		}
+		if (!call.idempotencyKey().isEmpty()) {
+			builder.withHeader(EngineAdapter.IDEMPOTENCY_KEY, call.idempotencyKey());
+		}
+		HttpRequest request = builder.withBody(call.body()).build();
+		this.caller.send(request, call.idempotent()).subscribe((response, failure) -> {
+			if (failure == null) {
+				pass(response, listener);
+			}
+			else if (this.caller.neverSent(request)) {
+				listener.onNeverSent(String.valueOf(failure.getMessage()));
+			}
+			else {
+				listener.onBroken(String.valueOf(failure.getMessage()));
+			}
+		});
+	}
+
+	private void pass(HttpResponse response, AnswerListener listener) {
+		String contentType = response.getHeader(HttpHeaders.CONTENT_TYPE);
+		listener.onHead(response.getCode(), (contentType != null) ? contentType : "");
+		BodyReader.read(response.takeBodyStream(), new BodyReader.Consumer() {
+			@Override
+			public void onPiece(byte[] piece) {
+				listener.onBody(piece, 0);
+			}
+
+			@Override
+			public void onEnd() {
+				listener.onWhole();
+			}
+
+			@Override
+			public void onFailure(String reason) {
+				listener.onBroken(reason);
+			}
+		});
+	}
+
+	@Override
+	public void cancel(String attemptId) {
+	}
+
+	@Override
+	public void resume(String attemptId, int receivedTokens, AnswerListener listener) {
+		listener.onBroken("a plain service cannot resume");
+	}
+
+	@Override
+	public boolean resumable() {
+		return false;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/endpoint/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Adapters to engines and plain services.
+ */
+package carawayswitch.endpoint;
--- /dev/null
+++ b/src/main/java/carawayswitch/entry/AdmissionLimits.java
@@ -0,0 +1,45 @@
+package carawayswitch.entry;
+
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+
+/**
+ * Admission limits of organisations. Each host admits its share of the limit, so that the
+ * limit holds over all hosts without asking anyone. Safe for use by several threads.
+ */
+final class AdmissionLimits {
+
+	private static final double BURST_SECONDS = 2;
+
+	private static final double MILLIS_PER_SECOND = 1000;
+
+	private final ConcurrentMap<String, Bucket> buckets = new ConcurrentHashMap<>();
+
+	/**
+	 * Decides whether work may enter.
+	 * @param organisation qualified name of the organisation
+	 * @param tokensPerSecond limit over all hosts in tokens per second, or 0 for none
+	 * @param hosts number of hosts that share the limit
+	 * @param cost cost of the work in tokens
+	 * @param now time in milliseconds
+	 * @return true if the work may enter
+	 */
+	boolean admit(String organisation, long tokensPerSecond, int hosts, double cost, long now) {
+		if (tokensPerSecond == 0) {
+			return true;
+		}
+		double rate = (double) tokensPerSecond / Math.max(1, hosts);
+		double burst = Math.max(rate * BURST_SECONDS, cost);
+		return this.buckets.compute(organisation, (key, bucket) -> {
+			double saved = (bucket != null) ? bucket.tokens() + (now - bucket.at()) * rate / MILLIS_PER_SECOND : burst;
+			double available = Math.min(burst, saved);
+			boolean admitted = available >= cost;
+			return new Bucket(admitted ? available - cost : available, now, admitted);
+		}).admitted();
+	}
+
+	private record Bucket(double tokens, long at, boolean admitted) {
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/entry/EntryServlet.java
@@ -0,0 +1,115 @@
+package carawayswitch.entry;
+
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.random.RandomGenerator;
+
+import io.activej.http.AsyncServlet;
+import io.activej.http.HttpMethod;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.promise.Promise;
+import io.activej.reactor.nio.NioReactor;
+
+import carawayswitch.outcome.ErrorKind;
+import carawayswitch.outcome.Outcome;
+import carawayswitch.outcome.TimedId;
+import carawayswitch.schedule.LengthEstimate;
+
+/**
+ * Serves callers on one event loop. Confined to its thread; the counter of requests in
+ * flight may be read by any thread.
+ */
+public final class EntryServlet implements AsyncServlet {
+
+	private static final double PROMPT_TOKEN_COST = 0.1;
+
+	private final EntryContext context;
+
+	private final NioReactor reactor;
+
+	private final RandomGenerator random;
+
+	private final AsyncServlet operators;
+
+	private final AtomicInteger inFlight = new AtomicInteger();
+
+	private final LengthEstimate lengths = new LengthEstimate();
+
+	/**
+	 * Creates a servlet.
+	 * @param context what all requests of the host share
+	 * @param reactor the event loop
+	 * @param random source of random numbers
+	 * @param operators serves everything that is not meant for callers
+	 */
+	public EntryServlet(EntryContext context, NioReactor reactor, RandomGenerator random, AsyncServlet operators) {
+		this.context = context;
+		this.reactor = reactor;
+		this.random = random;
+		this.operators = operators;
+	}
+
+	@Override
+	public Promise<HttpResponse> serve(HttpRequest request) throws Exception {
+		if (!forCallers(request)) {
+			return this.operators.serve(request);
+		}
+		long now = this.reactor.currentTimeMillis();
+		String requestId = TimedId.next();
+		this.inFlight.incrementAndGet();
+		return request.loadBody(this.context.settings().maxBodyBytes())
+			.then((body) -> serve(request, body.getArray(), requestId, now),
+					(failure) -> Promise
+						.of(error(new RequestException(ErrorKind.BODY_TOO_LARGE, bodyLimit()), requestId)))
+			.whenComplete((response, failure) -> this.inFlight.decrementAndGet());
+	}
+
+	private String bodyLimit() {
+		return "valid: up to " + this.context.settings().maxBodyBytes() + " bytes";
+	}
+
+	private static boolean forCallers(HttpRequest request) {
+		String path = request.getPath();
+		boolean completion = path.equals("/v1/completions") || path.equals("/v1/chat/completions");
+		return completion && request.getMethod() == HttpMethod.POST || path.startsWith(RequestParser.SERVICES_PATH);
+	}
+
+	private Promise<HttpResponse> serve(HttpRequest request, byte[] body, String requestId, long now) {
+		EntryIndex index = this.context.index();
+		long defaultDeadline = this.context.settings().defaultDeadline().toMillis();
+		CallerCall call;
+		try {
+			call = new RequestParser(index, defaultDeadline).parse(request, body, requestId, now);
+		}
+		catch (RequestException ex) {
+			return Promise.of(error(ex, requestId));
+		}
+		if (!admitted(call, now)) {
+			Outcome outcome = call.guarded() ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+			return Promise
+				.of(ErrorAnswer.response(ErrorKind.ORGANISATION_LIMIT, outcome, "", 0, requestId, this.context.host()));
+		}
+		return new CallerRequest(this.context, this.reactor, this.random, this.lengths, call).start();
+	}
+
+	private boolean admitted(CallerCall call, long now) {
+		double cost = 1 + call.promptTokens() * PROMPT_TOKEN_COST
+				+ (call.engine() ? call.profile().expectedTokens() : 0);
+		return this.context.admission()
+			.admit(call.organisationName(), call.organisation().tokensPerSecond(), this.context.view().working().size(),
+					cost, now);
+	}
+
+	private HttpResponse error(RequestException ex, String requestId) {
+		return ErrorAnswer.response(ex.kind(), ex.kind().outcome(), ex.getMessage(), 0, requestId, this.context.host());
+	}
+
+	/**
+	 * Returns the number of requests without a response.
+	 * @return number of requests
+	 */
+	public int inFlight() {
+		return this.inFlight.get();
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/entry/Relay.java
@@ -0,0 +1,31 @@
+package carawayswitch.entry;
+
+import io.activej.reactor.Reactor;
+
+import carawayswitch.outcome.ErrorKind;
+import carawayswitch.outcome.Outcome;
+
+/**
+ * Passes an answer on to another event loop. Safe for use by several threads.
+ *
+ * @param reactor event loop of the target
+ * @param target receives the answer
+ */
+record Relay(Reactor reactor, AnswerSink target) implements AnswerSink {
+
+	@Override
+	public void head(int status, String contentType, String endpoint) {
+		this.reactor.execute(() -> this.target.head(status, contentType, endpoint));
+	}
+
+	@Override
+	public void body(byte[] piece) {
+		this.reactor.execute(() -> this.target.body(piece));
+	}
+
+	@Override
+	public void end(Outcome outcome, ErrorKind error, String detail, long retryAfterMillis) {
+		this.reactor.execute(() -> this.target.end(outcome, error, detail, retryAfterMillis));
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/entry/RemoteAttachment.java
@@ -0,0 +1,50 @@
+package carawayswitch.entry;
+
+import carawayswitch.message.ReplyChunk;
+import carawayswitch.message.ReplyEnd;
+import carawayswitch.message.ReplyHead;
+import carawayswitch.outcome.ErrorKind;
+import carawayswitch.outcome.Outcome;
+import carawayswitch.transport.PeerTransport;
+
+/**
+ * Sends a copy of an answer to a host whose caller repeated a key. Confined to the thread
+ * of the request that holds the answer.
+ */
+final class RemoteAttachment implements AnswerSink {
+
+	/** Attempt number of messages that belong to an attachment. */
+	static final int ATTACHED = 0;
+
+	private final PeerTransport transport;
+
+	private final String peer;
+
+	private final String requestId;
+
+	private int chunks;
+
+	RemoteAttachment(PeerTransport transport, String peer, String requestId) {
+		this.transport = transport;
+		this.peer = peer;
+		this.requestId = requestId;
+	}
+
+	@Override
+	public void head(int status, String contentType, String endpoint) {
+		this.transport.send(this.peer, new ReplyHead(this.requestId, ATTACHED, status, contentType));
+	}
+
+	@Override
+	public void body(byte[] piece) {
+		this.transport.send(this.peer, new ReplyChunk(this.requestId, ATTACHED, this.chunks++, piece));
+	}
+
+	@Override
+	public void end(Outcome outcome, ErrorKind error, String detail, long retryAfterMillis) {
+		String kind = (error != null) ? error.label() : "";
+		this.transport.send(this.peer,
+				new ReplyEnd(this.requestId, ATTACHED, outcome.label(), kind, this.chunks, retryAfterMillis, 0, null));
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/entry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * HTTP towards callers and operators.
+ */
+package carawayswitch.entry;
--- /dev/null
+++ b/src/main/java/carawayswitch/guard/KeyGuard.java
@@ -0,0 +1,522 @@
+package carawayswitch.guard;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import carawayswitch.guard.Slot.Authority;
+import carawayswitch.message.GrantReply;
+import carawayswitch.message.GrantRequest;
+import carawayswitch.message.GrantSettled;
+import carawayswitch.message.GrantState;
+import carawayswitch.message.GuardAssignment;
+import carawayswitch.message.GuardMember;
+import carawayswitch.message.Handover;
+import carawayswitch.message.HandoverReply;
+import carawayswitch.message.LeaseReply;
+import carawayswitch.message.LeaseRequest;
+import carawayswitch.message.ReleaseReply;
+import carawayswitch.message.ReleaseRequest;
+import carawayswitch.message.SlotState;
+import carawayswitch.outcome.Outcome;
+
+/**
+ * Decides which keys may be dispatched. Invariant: a key is granted to at most one
+ * request in the whole region.
+ * <ul>
+ * <li>An owner grants only under a lease of its guardian, measured on the owner's
+ * monotonic clock from the time at which it asked.</li>
+ * <li>A guardian leases only under the newest assignment that it knows and only while it
+ * hears of a majority of the hosts.</li>
+ * <li>A new owner waits until each former holder has given up its part, or has been
+ * silent for so long that its leases have lapsed.</li>
+ * <li>A holder that does not know all earlier grants never grants a key that was minted
+ * before it took over.</li>
+ * </ul>
+ * All times are arguments; {@code now} is monotonic, {@code wall} is the wall clock, both
+ * in milliseconds. Not safe for use by several threads.
+ */
+public final class KeyGuard {
+
+	private final String host;
+
+	private final long incarnation;
+
+	private final GuardTimes times;
+
+	private final List<Slot> slots = new ArrayList<>();
+
+	private SlotMap newest;
+
+	private long lastTick = Slot.NEVER;
+
+	/**
+	 * Creates a guard without authority.
+	 * @param host id of this host
+	 * @param incarnation incarnation number of this host
+	 * @param times lengths of time
+	 */
+	public KeyGuard(String host, long incarnation, GuardTimes times) {
+		this.host = host;
+		this.incarnation = incarnation;
+		this.times = times;
+		for (int slot = 0; slot < SlotMap.SLOTS; slot++) {
+			this.slots.add(new Slot(slot));
+		}
+	}
+
+	/**
+	 * Follows the assignments of the region.
+	 * @param history kept assignments, oldest first; the last one is in force
+	 * @param now monotonic time in milliseconds
+	 */
+	public void onAssignments(List<GuardAssignment> history, long now) {
+		GuardAssignment last = history.get(history.size() - 1);
+		if (this.newest != null && last.epoch() <= this.newest.epoch()) {
+			return;
+		}
+		List<SlotMap> maps = new ArrayList<>();
+		for (GuardAssignment assignment : history) {
+			maps.add(SlotMap.of(assignment));
+		}
+		SlotMap previous = this.newest;
+		this.newest = maps.get(maps.size() - 1);
+		for (Slot slot : this.slots) {
+			boolean unchanged = previous != null && unchangedSince(maps, previous.epoch(), slot.number);
+			if (unchanged) {
+				slot.epoch = this.newest.epoch();
+			}
+			else {
+				changeHolder(slot, maps, now);
+			}
+		}
+	}
+
+	private boolean unchangedSince(List<SlotMap> maps, long epoch, int slot) {
+		if (maps.get(0).epoch() > epoch) {
+			return false;
+		}
+		for (SlotMap map : maps) {
+			if (map.epoch() >= epoch && !map.samePair(this.newest, slot)) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	private void changeHolder(Slot slot, List<SlotMap> maps, long now) {
+		slot.leasedUntil = Slot.NEVER;
+		slot.leased = false;
+		slot.released = null;
+		slot.pendingReleases.clear();
+		if (!slot.holds()) {
+			slot.forget();
+			slot.gone.clear();
+		}
+		if (isSelf(this.newest.owner(slot.number))) {
+			startAcquiring(slot, maps, now);
+		}
+	}
+
+	private void startAcquiring(Slot slot, List<SlotMap> maps, long now) {
+		for (SlotMap map : maps.subList(0, maps.size() - 1)) {
+			slot.pendingReleases.addAll(map.candidates(slot.number));
+		}
+		slot.pendingReleases.removeIf((member) -> isSelf(member) || slot.gone.contains(member.host()));
+		slot.inherited = slot.holds();
+		slot.lost = false;
+		slot.authority = Authority.ACQUIRING;
+		slot.acquireAt = now + this.times.silence();
+	}
+
+	/**
+	 * Decides on a request for a grant.
+	 * @param request the request
+	 * @param now monotonic time in milliseconds
+	 * @param wall wall-clock time in milliseconds since the epoch
+	 * @return the verdict
+	 */
+	public GrantReply ask(GrantRequest request, long now, long wall) {
+		Slot slot = this.slots.get(SlotMap.slotOf(request.key()));
+		GrantVerdict refusal = refusal(slot, request, now, wall);
+		if (refusal != null) {
+			return reply(request, refusal, null);
+		}
+		GrantState grant = slot.grants.get(request.key());
+		if (grant == null && request.mintedMillis() < slot.floorMillis) {
+			return reply(request, GrantVerdict.UNKNOWN, null);
+		}
+		if (grant == null) {
+			grant = new GrantState(request.key(), request.mintedMillis(), request.host(), request.incarnation(),
+					request.requestId(), request.fingerprint());
+			slot.grants.put(request.key(), grant);
+			return reply(request, GrantVerdict.GRANTED, grant);
+		}
+		if (grant.fingerprint() != request.fingerprint()) {
+			return reply(request, GrantVerdict.CONFLICT, null);
+		}
+		return reply(request, sameAsker(grant, request) ? GrantVerdict.GRANTED : GrantVerdict.HELD, grant);
+	}
+
+	private GrantVerdict refusal(Slot slot, GrantRequest request, long now, long wall) {
+		if (request.mintedMillis() > wall + this.times.skew()) {
+			return GrantVerdict.FUTURE;
+		}
+		if (request.mintedMillis() < wall - this.times.window()) {
+			return GrantVerdict.EXPIRED;
+		}
+		if (slot.authority == Authority.NONE) {
+			return GrantVerdict.NOT_OWNER;
+		}
+		boolean behind = request.epoch() > this.newest.epoch();
+		return (slot.mayGrant(now) && !handedOver(slot) && !behind) ? null : GrantVerdict.NOT_READY;
+	}
+
+	private static boolean sameAsker(GrantState grant, GrantRequest request) {
+		return grant.requestId().equals(request.requestId()) && grant.host().equals(request.host())
+				&& grant.incarnation() == request.incarnation();
+	}
+
+	private static GrantReply reply(GrantRequest request, GrantVerdict verdict, GrantState grant) {
+		String holder = (grant != null) ? grant.host() : "";
+		long holderIncarnation = (grant != null) ? grant.incarnation() : 0;
+		String holderRequest = (grant != null) ? grant.requestId() : "";
+		return new GrantReply(request.key(), request.requestId(), verdict.name(), holder, holderIncarnation,
+				holderRequest);
+	}
+
+	/**
+	 * Takes back the grant of a request that was not run.
+	 * @param settled how the request ended
+	 */
+	public void onSettled(GrantSettled settled) {
+		Map<String, GrantState> grants = this.slots.get(SlotMap.slotOf(settled.key())).grants;
+		GrantState grant = grants.get(settled.key());
+		boolean notRun = Outcome.ofLabel(settled.outcome()) == Outcome.NOT_RUN;
+		if (notRun && grant != null && grant.requestId().equals(settled.requestId())) {
+			grants.remove(settled.key());
+		}
+	}
+
+	/**
+	 * Advances acquisitions, takeovers and leases that need no other host.
+	 * @param reachable what is known of other hosts
+	 * @param now monotonic time in milliseconds
+	 * @param wall wall-clock time in milliseconds since the epoch
+	 */
+	public void tick(Reachability reachable, long now, long wall) {
+		boolean paused = now - this.lastTick > this.times.lease();
+		this.lastTick = now;
+		if (this.newest == null || paused) {
+			return;
+		}
+		for (Slot slot : this.slots) {
+			slot.dropGrantsMintedBefore(wall - this.times.window() - this.times.skew());
+			if (slot.authority == Authority.ACQUIRING) {
+				acquire(slot, reachable, now, wall);
+			}
+			else if (mayTakeOver(slot, reachable, now)) {
+				slot.forget();
+				slot.act(this.newest.epoch());
+				slot.floorMillis = wall + this.times.skew();
+			}
+			if (leasesItself(slot) && reachable.majority()) {
+				slot.leaseUntil = now + this.times.lease();
+			}
+		}
+	}
+
+	private void acquire(Slot slot, Reachability reachable, long now, long wall) {
+		slot.lost |= slot.pendingReleases.removeIf(reachable::replaced);
+		if (!slot.pendingReleases.isEmpty() && now < slot.acquireAt) {
+			return;
+		}
+		slot.lost |= !slot.pendingReleases.isEmpty();
+		if (slot.lost || !slot.inherited) {
+			slot.floorMillis = wall + this.times.skew();
+		}
+		slot.pendingReleases.clear();
+		slot.gone.clear();
+		slot.authority = Authority.OWNER;
+		slot.epoch = this.newest.epoch();
+		slot.leaseUntil = Slot.NEVER;
+	}
+
+	private boolean mayTakeOver(Slot slot, Reachability reachable, long now) {
+		GuardMember guardian = this.newest.guardian(slot.number);
+		return slot.authority == Authority.NONE && slot.leased && guardian != null && isSelf(guardian)
+				&& now > slot.leasedUntil + this.times.margin() && reachable.majority()
+				&& !reachable.alive(this.newest.owner(slot.number));
+	}
+
+	private boolean leasesItself(Slot slot) {
+		boolean current = slot.holds() && slot.epoch == this.newest.epoch() && !handedOver(slot);
+		return current && (slot.authority == Authority.ACTING || this.newest.guardian(slot.number) == null);
+	}
+
+	private boolean handedOver(Slot slot) {
+		return slot.gone.contains(this.host);
+	}
+
+	/**
+	 * Returns the lease requests that are due.
+	 * @param now monotonic time in milliseconds
+	 * @return request by id of the guardian
+	 */
+	public Map<String, LeaseRequest> leaseRequests(long now) {
+		Map<String, List<Slot>> byGuardian = new HashMap<>();
+		for (Slot slot : this.slots) {
+			boolean current = slot.authority == Authority.OWNER && slot.epoch == this.newest.epoch();
+			boolean due = current && !handedOver(slot) && slot.leaseUntil - now < this.times.lease() * 2 / 3;
+			GuardMember guardian = due ? this.newest.guardian(slot.number) : null;
+			if (guardian != null) {
+				byGuardian.computeIfAbsent(guardian.host(), (key) -> new ArrayList<>()).add(slot);
+			}
+		}
+		Map<String, LeaseRequest> requests = new HashMap<>();
+		byGuardian.forEach((guardian, due) -> requests.put(guardian,
+				new LeaseRequest(this.host, this.incarnation, this.newest.epoch(), Slot.numbers(due), now)));
+		return requests;
+	}
+
+	/**
+	 * Leases slots to their owner.
+	 * @param request the owner's request
+	 * @param reachable what is known of other hosts
+	 * @param now monotonic time in milliseconds
+	 * @return the slots that are leased
+	 */
+	public LeaseReply onLeaseRequest(LeaseRequest request, Reachability reachable, long now) {
+		List<Slot> leased = new ArrayList<>();
+		for (int number : request.slots()) {
+			Slot slot = this.slots.get(number);
+			if (mayLease(slot, request, reachable)) {
+				slot.leased = true;
+				slot.leasedUntil = now + this.times.lease();
+				leased.add(slot);
+			}
+		}
+		return new LeaseReply(this.host, request.epoch(), Slot.numbers(leased), request.sentMillis());
+	}
+
+	private boolean mayLease(Slot slot, LeaseRequest request, Reachability reachable) {
+		if (this.newest == null || request.epoch() != this.newest.epoch() || !reachable.majority()) {
+			return false;
+		}
+		GuardMember owner = this.newest.owner(slot.number);
+		GuardMember guardian = this.newest.guardian(slot.number);
+		boolean ownerAsks = owner.host().equals(request.host()) && owner.incarnation() == request.incarnation();
+		return ownerAsks && guardian != null && isSelf(guardian) && slot.authority == Authority.NONE
+				&& slot.gone.isEmpty();
+	}
+
+	/**
+	 * Extends leases by a guardian's answer.
+	 * @param reply the answer
+	 */
+	public void onLeaseReply(LeaseReply reply) {
+		if (this.newest == null || reply.epoch() != this.newest.epoch()) {
+			return;
+		}
+		for (int number : reply.slots()) {
+			Slot slot = this.slots.get(number);
+			GuardMember guardian = this.newest.guardian(number);
+			boolean expected = guardian != null && guardian.host().equals(reply.host());
+			if (expected && slot.authority == Authority.OWNER && slot.epoch == reply.epoch()) {
+				slot.leaseUntil = Math.max(slot.leaseUntil, reply.sentMillis() + this.times.lease());
+			}
+		}
+	}
+
+	/**
+	 * Returns requests to former holders to give up their part.
+	 * @return request by id of the former holder
+	 */
+	public Map<String, ReleaseRequest> releaseRequests() {
+		Map<String, List<Slot>> byHolder = new HashMap<>();
+		for (Slot slot : this.slots) {
+			if (slot.authority == Authority.ACQUIRING) {
+				for (GuardMember holder : slot.pendingReleases) {
+					List<Slot> pending = byHolder.computeIfAbsent(holder.host(), (key) -> new ArrayList<>());
+					if (!pending.contains(slot)) {
+						pending.add(slot);
+					}
+				}
+			}
+		}
+		Map<String, ReleaseRequest> requests = new HashMap<>();
+		byHolder.forEach((holder, pending) -> requests.put(holder,
+				new ReleaseRequest(this.host, this.newest.epoch(), Slot.numbers(pending))));
+		return requests;
+	}
+
+	/**
+	 * Gives up slots in favour of their new owner.
+	 * @param request the new owner's request
+	 * @return what this host knew, or null while it has not folded the new assignment
+	 */
+	public ReleaseReply onReleaseRequest(ReleaseRequest request) {
+		if (this.newest == null || request.epoch() > this.newest.epoch()) {
+			return null;
+		}
+		List<SlotState> states = new ArrayList<>();
+		for (int number : request.slots()) {
+			Slot slot = this.slots.get(number);
+			boolean newOwnerAsks = this.newest.owner(number).host().equals(request.host());
+			if (newOwnerAsks && request.epoch() == this.newest.epoch()) {
+				states.add(release(slot));
+			}
+		}
+		return new ReleaseReply(this.host, request.epoch(), states);
+	}
+
+	private static SlotState release(Slot slot) {
+		if (slot.released == null) {
+			slot.released = slot.state();
+			slot.forget();
+		}
+		return slot.released;
+	}
+
+	/**
+	 * Takes over what a former holder knew.
+	 * @param reply the former holder's answer
+	 */
+	public void onReleaseReply(ReleaseReply reply) {
+		if (this.newest == null || reply.epoch() != this.newest.epoch()) {
+			return;
+		}
+		for (SlotState state : reply.slots()) {
+			Slot slot = this.slots.get(state.slot());
+			if (slot.authority == Authority.ACQUIRING) {
+				slot.merge(state);
+				slot.inherited |= state.owned();
+				slot.pendingReleases.removeIf((holder) -> holder.host().equals(reply.host()));
+				slot.pendingReleases.removeIf((holder) -> state.owned() && state.gone().contains(holder.host()));
+			}
+		}
+	}
+
+	/**
+	 * Stops granting and passes authority to the hosts that stand in during a planned
+	 * stop. To be repeated until nothing is left.
+	 * @param reachable what is known of other hosts
+	 * @return message by id of the receiving host
+	 */
+	public Map<String, Handover> handovers(Reachability reachable) {
+		Map<String, List<SlotState>> byReceiver = new HashMap<>();
+		for (Slot slot : this.slots) {
+			GuardMember receiver = slot.holds() ? receiver(slot, reachable) : null;
+			if (receiver != null) {
+				slot.leaseUntil = Slot.NEVER;
+				slot.gone.add(this.host);
+				byReceiver.computeIfAbsent(receiver.host(), (key) -> new ArrayList<>()).add(slot.state());
+			}
+		}
+		Map<String, Handover> messages = new HashMap<>();
+		byReceiver.forEach(
+				(receiver, states) -> messages.put(receiver, new Handover(this.host, this.newest.epoch(), states)));
+		return messages;
+	}
+
+	private GuardMember receiver(Slot slot, Reachability reachable) {
+		List<GuardMember> candidates = this.newest.candidates(slot.number);
+		int self = 0;
+		while (self < candidates.size() && !isSelf(candidates.get(self))) {
+			self++;
+		}
+		boolean nextExists = self + 1 < candidates.size();
+		GuardMember next = nextExists ? candidates.get(self + 1) : null;
+		return (nextExists && reachable.alive(next)) ? next : null;
+	}
+
+	/**
+	 * Takes authority from a stopping host.
+	 * @param handover the stopping host's message
+	 * @return the slots that were taken
+	 */
+	public HandoverReply onHandover(Handover handover) {
+		List<Integer> taken = new ArrayList<>();
+		boolean current = this.newest != null && handover.epoch() == this.newest.epoch();
+		for (SlotState state : handover.slots()) {
+			Slot slot = this.slots.get(state.slot());
+			boolean candidate = current && this.newest.candidates(state.slot()).stream().anyMatch(this::isSelf);
+			if (candidate && slot.authority == Authority.NONE && state.owned()) {
+				slot.forget();
+				slot.merge(state);
+				slot.gone.addAll(state.gone());
+				slot.act(this.newest.epoch());
+			}
+			if (candidate && slot.authority == Authority.ACTING) {
+				taken.add(state.slot());
+			}
+		}
+		return new HandoverReply(this.host, handover.epoch(), taken);
+	}
+
+	/**
+	 * Forgets slots that another host has taken.
+	 * @param reply the other host's answer
+	 */
+	public void onHandoverReply(HandoverReply reply) {
+		for (int number : reply.slots()) {
+			Slot slot = this.slots.get(number);
+			if (handedOver(slot)) {
+				slot.forget();
+			}
+		}
+	}
+
+	/**
+	 * Returns the number of slots over which this host has authority.
+	 * @return number of slots
+	 */
+	public int heldSlots() {
+		return (int) this.slots.stream().filter(Slot::holds).count();
+	}
+
+	/**
+	 * Returns the time before which a key must not have been minted to be granted by this
+	 * host in all of its slots.
+	 * @return wall-clock time in milliseconds since the epoch
+	 */
+	public long floorMillis() {
+		return this.slots.stream().filter(Slot::holds).mapToLong((slot) -> slot.floorMillis).max().orElse(0);
+	}
+
+	/**
+	 * Returns the number of slots that this host is acquiring.
+	 * @return number of slots
+	 */
+	public int acquiringSlots() {
+		return (int) this.slots.stream().filter((slot) -> slot.authority == Authority.ACQUIRING).count();
+	}
+
+	/**
+	 * Returns the number of grants that this host remembers.
+	 * @return number of grants
+	 */
+	public int grants() {
+		return this.slots.stream().map((slot) -> slot.grants).mapToInt(Map::size).sum();
+	}
+
+	/**
+	 * Returns the hosts to ask for a grant, most likely one first.
+	 * @param key the qualified key
+	 * @return ids of the hosts; empty without an assignment
+	 */
+	public List<String> candidates(String key) {
+		if (this.newest == null) {
+			return List.of();
+		}
+		Collection<GuardMember> members = this.newest.candidates(SlotMap.slotOf(key));
+		return members.stream().map(GuardMember::host).toList();
+	}
+
+	private boolean isSelf(GuardMember member) {
+		return member.host().equals(this.host) && member.incarnation() == this.incarnation;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/guard/Slot.java
@@ -0,0 +1,125 @@
+package carawayswitch.guard;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+import carawayswitch.message.GrantState;
+import carawayswitch.message.GuardMember;
+import carawayswitch.message.SlotState;
+
+/**
+ * State of one slot on one host. Confined to the thread of its {@link KeyGuard}.
+ */
+final class Slot {
+
+	static final long NEVER = Long.MIN_VALUE / 2;
+
+	final int number;
+
+	final Map<String, GrantState> grants = new HashMap<>();
+
+	Authority authority = Authority.NONE;
+
+	/** Keys minted before this wall-clock time are not known completely. */
+	long floorMillis;
+
+	/** Monotonic time until which this host, as the owner, may grant. */
+	long leaseUntil = NEVER;
+
+	/** Monotonic time until which this host, as the guardian, has leased the slot. */
+	long leasedUntil = NEVER;
+
+	/** True after this host, as the guardian, has leased the slot at least once. */
+	boolean leased;
+
+	/** Former holders that have not given up their part yet. */
+	final Set<GuardMember> pendingReleases = new HashSet<>();
+
+	/** Hosts that have given up the slot for good under the newest assignment. */
+	final Set<String> gone = new TreeSet<>();
+
+	/** Epoch of the newest assignment under which the authority is valid. */
+	long epoch;
+
+	/** True if this host or a former holder that answered held authority. */
+	boolean inherited;
+
+	/** True if a former holder could not tell what it knew. */
+	boolean lost;
+
+	/** What this host told the new owner under the newest assignment, or null. */
+	SlotState released;
+
+	/** Monotonic time at which silent former holders surely have no authority. */
+	long acquireAt = NEVER;
+
+	Slot(int number) {
+		this.number = number;
+	}
+
+	boolean holds() {
+		return this.authority == Authority.OWNER || this.authority == Authority.ACTING;
+	}
+
+	SlotState state() {
+		return new SlotState(this.number, holds(), this.floorMillis, new ArrayList<>(this.grants.values()),
+				new ArrayList<>(this.gone));
+	}
+
+	void merge(SlotState state) {
+		for (GrantState grant : state.grants()) {
+			this.grants.putIfAbsent(grant.key(), grant);
+		}
+		this.floorMillis = Math.max(this.floorMillis, state.floorMillis());
+	}
+
+	void forget() {
+		this.authority = Authority.NONE;
+		this.leaseUntil = NEVER;
+		this.floorMillis = 0;
+		this.grants.clear();
+	}
+
+	void act(long newEpoch) {
+		this.authority = Authority.ACTING;
+		this.epoch = newEpoch;
+		this.leaseUntil = NEVER;
+	}
+
+	boolean mayGrant(long now) {
+		return holds() && now < this.leaseUntil;
+	}
+
+	void dropGrantsMintedBefore(long millis) {
+		this.grants.values().removeIf((grant) -> grant.mintedMillis() < millis);
+	}
+
+	static List<Integer> numbers(List<Slot> slots) {
+		return slots.stream().map((slot) -> slot.number).toList();
+	}
+
+	/**
+	 * What a host may do with a slot.
+	 */
+	enum Authority {
+
+		/** Nothing. */
+		NONE,
+
+		/** The host is the assigned owner and waits for former holders. */
+		ACQUIRING,
+
+		/** The host is the assigned owner and grants under a lease. */
+		OWNER,
+
+		/** The host stands in for the assigned owner. */
+		ACTING
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/guard/SlotMap.java
@@ -0,0 +1,106 @@
+package carawayswitch.guard;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+import org.apache.commons.codec.digest.MurmurHash3;
+
+import carawayswitch.message.GuardAssignment;
+import carawayswitch.message.GuardMember;
+
+/**
+ * Places the slots of a region on the members of an assignment by rendezvous hashing. The
+ * guardian is the next member in another availability zone. Immutable.
+ */
+public final class SlotMap {
+
+	/** Number of slots of a region. */
+	public static final int SLOTS = 256;
+
+	/** Number of members that may hold authority over a slot under one assignment. */
+	static final int CANDIDATES = 3;
+
+	private final long epoch;
+
+	private final List<List<GuardMember>> candidates;
+
+	private SlotMap(long epoch, List<List<GuardMember>> candidates) {
+		this.epoch = epoch;
+		this.candidates = candidates;
+	}
+
+	/**
+	 * Places all slots.
+	 * @param assignment the assignment
+	 * @return the placement
+	 */
+	public static SlotMap of(GuardAssignment assignment) {
+		List<List<GuardMember>> candidates = new ArrayList<>(SLOTS);
+		for (int slot = 0; slot < SLOTS; slot++) {
+			candidates.add(order(slot, assignment.members()));
+		}
+		return new SlotMap(assignment.epoch(), candidates);
+	}
+
+	private static List<GuardMember> order(int slot, List<GuardMember> members) {
+		List<GuardMember> ranked = new ArrayList<>(members);
+		ranked.sort(Comparator.<GuardMember>comparingLong((member) -> score(slot, member.host()))
+			.reversed()
+			.thenComparing(GuardMember::host));
+		String ownerZone = ranked.get(0).zone();
+		for (int i = 1; i < ranked.size(); i++) {
+			if (!ranked.get(i).zone().equals(ownerZone)) {
+				ranked.add(1, ranked.remove(i));
+				break;
+			}
+		}
+		return List.copyOf(ranked.subList(0, Math.min(CANDIDATES, ranked.size())));
+	}
+
+	private static long score(int slot, String host) {
+		byte[] bytes = (slot + ":" + host).getBytes(java.nio.charset.StandardCharsets.UTF_8);
+		return MurmurHash3.hash128x64(bytes)[0];
+	}
+
+	/**
+	 * Returns the slot of a key.
+	 * @param key the qualified key
+	 * @return the number of the slot
+	 */
+	public static int slotOf(String key) {
+		byte[] bytes = key.getBytes(java.nio.charset.StandardCharsets.UTF_8);
+		return Math.floorMod(MurmurHash3.hash128x64(bytes)[0], SLOTS);
+	}
+
+	/**
+	 * Returns the epoch of the assignment.
+	 * @return the epoch
+	 */
+	public long epoch() {
+		return this.epoch;
+	}
+
+	/**
+	 * Returns the members that may hold authority over a slot.
+	 * @param slot number of the slot
+	 * @return owner, guardian and a further member, as far as they exist
+	 */
+	public List<GuardMember> candidates(int slot) {
+		return this.candidates.get(slot);
+	}
+
+	GuardMember owner(int slot) {
+		return this.candidates.get(slot).get(0);
+	}
+
+	GuardMember guardian(int slot) {
+		List<GuardMember> members = this.candidates.get(slot);
+		return (members.size() > 1) ? members.get(1) : null;
+	}
+
+	boolean samePair(SlotMap other, int slot) {
+		return owner(slot).equals(other.owner(slot)) && java.util.Objects.equals(guardian(slot), other.guardian(slot));
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/host/ConfigurationEditor.java
@@ -0,0 +1,75 @@
+package carawayswitch.host;
+
+import java.util.function.Consumer;
+
+import io.activej.reactor.Reactor;
+import io.vavr.control.Option;
+
+import carawayswitch.config.ChangeVerdict;
+import carawayswitch.config.ConfigurationHolder;
+import carawayswitch.message.ConfigurationChange;
+import carawayswitch.message.MessageCodec;
+import carawayswitch.platform.LogService;
+
+/**
+ * Publishes changes of the configuration. A verdict is given only after the change was
+ * read back from the log. A lost answer of the log is resolved by the id of the change:
+ * the change is appended again, and the fold ignores the repetition. Confined to the
+ * control thread.
+ */
+final class ConfigurationEditor {
+
+	private static final long CHECK_MILLIS = 10;
+
+	private final Reactor reactor;
+
+	private final ConfigurationHolder holder;
+
+	private final LogService log;
+
+	private final Runnable pollNow;
+
+	private final long timeoutMillis;
+
+	ConfigurationEditor(Reactor reactor, ConfigurationHolder holder, LogService log, Runnable pollNow,
+			long timeoutMillis) {
+		this.reactor = reactor;
+		this.holder = holder;
+		this.log = log;
+		this.pollNow = pollNow;
+		this.timeoutMillis = timeoutMillis;
+	}
+
+	/**
+	 * Publishes a change.
+	 * @param change the change
+	 * @param onVerdict receives the verdict, or nothing if the log did not confirm in
+	 * time
+	 */
+	void publish(ConfigurationChange change, Consumer<Option<ChangeVerdict>> onVerdict) {
+		long deadline = this.reactor.currentTimeMillis() + this.timeoutMillis;
+		append(change, deadline);
+		await(change.changeId(), deadline, onVerdict);
+	}
+
+	private void append(ConfigurationChange change, long deadline) {
+		this.log.append(LogService.CONFIGURATION, MessageCodec.encode(change)).subscribe((offset, failure) -> {
+			boolean again = failure != null && this.reactor.currentTimeMillis() < deadline
+					&& this.holder.state().verdict(change.changeId()).isEmpty();
+			if (again) {
+				this.reactor.delayBackground(CHECK_MILLIS * 10, () -> append(change, deadline));
+			}
+			this.pollNow.run();
+		});
+	}
+
+	private void await(String changeId, long deadline, Consumer<Option<ChangeVerdict>> onVerdict) {
+		Option<ChangeVerdict> verdict = this.holder.state().verdict(changeId);
+		if (verdict.isDefined() || this.reactor.currentTimeMillis() >= deadline) {
+			onVerdict.accept(verdict);
+			return;
+		}
+		this.reactor.delayBackground(CHECK_MILLIS, () -> await(changeId, deadline, onVerdict));
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/host/Loops.java
@@ -0,0 +1,77 @@
+package carawayswitch.host;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.activej.eventloop.Eventloop;
+
+import carawayswitch.dispatch.EndpointOwners;
+import carawayswitch.http.HttpCaller;
+import carawayswitch.log.LogEvent;
+import carawayswitch.settings.Settings;
+
+/**
+ * Event loops of a host, each on a thread of its own: one for control and connections
+ * between hosts, the others for callers and endpoints. Immutable.
+ *
+ * @param control the control loop
+ * @param platformCaller HTTP client of the control loop
+ * @param endpointLoops loops for callers and endpoints
+ */
+record Loops(Eventloop control, HttpCaller platformCaller, List<EndpointOwners.Loop> endpointLoops) {
+
+	static Loops start(Settings settings) {
+		Eventloop control = startLoop(settings.host().id() + "-control");
+		HttpCaller platformCaller = new HttpCaller(control, settings.endpoint().connectTimeout(),
+				settings.platform().callTimeout());
+		List<EndpointOwners.Loop> loops = new ArrayList<>();
+		for (int i = 0; i < settings.host().threads(); i++) {
+			Eventloop loop = startLoop(settings.host().id() + "-" + i);
+			loops.add(new EndpointOwners.Loop(loop,
+					new HttpCaller(loop, settings.endpoint().connectTimeout(), settings.endpoint().silenceTimeout())));
+		}
+		return new Loops(control, platformCaller, List.copyOf(loops));
+	}
+
+	private static Eventloop startLoop(String name) {
+		Eventloop loop = Eventloop.builder()
+			.withFatalErrorHandler((failure, context) -> LogEvent.INTERNAL_ERROR.log("reason", failure, "context",
+					context, "cause", failure.getCause(), "at",
+					(failure.getStackTrace().length > 0) ? failure.getStackTrace()[0] : ""))
+			.build();
+		loop.keepAlive(true);
+		Thread thread = new Thread(loop, name);
+		thread.setDaemon(true);
+		thread.start();
+		return loop;
+	}
+
+	void stop() {
+		this.control.execute(() -> {
+			this.platformCaller.stop();
+			this.control.keepAlive(false);
+		});
+		for (EndpointOwners.Loop loop : this.endpointLoops) {
+			loop.reactor().execute(() -> {
+				loop.caller().stop();
+				((Eventloop) loop.reactor()).keepAlive(false);
+			});
+		}
+	}
+
+	void kill() {
+		closeChannels(this.control);
+		this.endpointLoops.forEach((loop) -> closeChannels((Eventloop) loop.reactor()));
+	}
+
+	private static void closeChannels(Eventloop loop) {
+		loop.execute(() -> {
+			if (loop.getSelector() != null) {
+				loop.getSelector().keys().forEach((key) -> loop.closeChannel(key.channel(), key));
+			}
+			loop.keepAlive(false);
+			loop.breakEventloop();
+		});
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/host/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The daemon: puts the parts of a host together and runs its periodic tasks.
+ */
+package carawayswitch.host;
--- /dev/null
+++ b/src/main/java/carawayswitch/http/HttpCaller.java
@@ -0,0 +1,159 @@
+package carawayswitch.http;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Collections;
+import java.util.IdentityHashMap;
+import java.util.Set;
+
+import io.activej.dns.IDnsClient;
+import io.activej.dns.protocol.DnsQuery;
+import io.activej.dns.protocol.DnsResponse;
+import io.activej.http.HttpClient;
+import io.activej.http.HttpClientConnection;
+import io.activej.http.HttpRequest;
+import io.activej.http.HttpResponse;
+import io.activej.http.MalformedHttpException;
+import io.activej.promise.Promise;
+import io.activej.reactor.nio.NioReactor;
+
+/**
+ * Sends HTTP requests. Knows of a failed request whether a connection was ever
+ * established for it. Only idempotent requests use kept connections, since the far side
+ * may close one while a request is under way. Confined to the thread of its event loop.
+ */
+public final class HttpCaller {
+
+	private static final Duration KEEP_ALIVE = Duration.ofSeconds(30);
+
+	private final Set<HttpRequest> unsent = Collections.newSetFromMap(new IdentityHashMap<>());
+
+	private final HttpClient pooled;
+
+	private final HttpClient single;
+
+	/**
+	 * Creates a caller.
+	 * @param reactor the event loop
+	 * @param connectTimeout longest wait for a connection
+	 * @param silenceTimeout silence after which an answer is given up
+	 */
+	public HttpCaller(NioReactor reactor, Duration connectTimeout, Duration silenceTimeout) {
+		this.pooled = builder(reactor, connectTimeout, silenceTimeout).withKeepAliveTimeout(KEEP_ALIVE).build();
+		this.single = builder(reactor, connectTimeout, silenceTimeout).withNoKeepAlive().build();
+	}
+
+	private HttpClient.Builder builder(NioReactor reactor, Duration connectTimeout, Duration silenceTimeout) {
+		return HttpClient.builder(reactor, new LiteralAddresses())
+			.withConnectTimeout(connectTimeout)
+			.withReadWriteTimeout(silenceTimeout)
+			.withInspector(new ConnectFailures());
+	}
+
+	/**
+	 * Sends a request.
+	 * @param request the request
+	 * @param idempotent true if the request may use a kept connection
+	 * @return the response; fails if there is none
+	 */
+	public Promise<HttpResponse> send(HttpRequest request, boolean idempotent) {
+		return (idempotent ? this.pooled : this.single).request(request);
+	}
+
+	/**
+	 * Tells of a failed request whether no byte of it was sent. To be asked once.
+	 * @param request the failed request
+	 * @return true if no connection was established for the request
+	 */
+	public boolean neverSent(HttpRequest request) {
+		return this.unsent.remove(request);
+	}
+
+	/**
+	 * Closes idle connections.
+	 */
+	public void stop() {
+		this.pooled.stop();
+		this.single.stop();
+	}
+
+	/**
+	 * Accepts IP addresses only.
+	 */
+	private static final class LiteralAddresses implements IDnsClient {
+
+		@Override
+		public Promise<DnsResponse> resolve(DnsQuery query) {
+			DnsResponse literal = IDnsClient.resolveFromQuery(query);
+			if (literal != null) {
+				return Promise.of(literal);
+			}
+			return Promise.ofException(new IllegalArgumentException("not an IP address: " + query.getDomainName()));
+		}
+
+		@Override
+		public void close() {
+		}
+
+	}
+
+	/**
+	 * Remembers requests whose connection was not established.
+	 */
+	private final class ConnectFailures implements HttpClient.Inspector {
+
+		@Override
+		public void onConnectError(HttpRequest request, InetSocketAddress address, Exception failure) {
+			HttpCaller.this.unsent.add(request);
+		}
+
+		@Override
+		public void onResolveError(HttpRequest request, Exception failure) {
+			HttpCaller.this.unsent.add(request);
+		}
+
+		@Override
+		public void onRequest(HttpRequest request) {
+		}
+
+		@Override
+		public void onRequestComplete(HttpResponse response, HttpClientConnection connection) {
+		}
+
+		@Override
+		public void onResolve(HttpRequest request, DnsResponse response) {
+		}
+
+		@Override
+		public void onConnecting(HttpRequest request, InetSocketAddress address) {
+		}
+
+		@Override
+		public void onConnect(HttpRequest request, HttpClientConnection connection) {
+		}
+
+		@Override
+		public void onHttpResponse(HttpResponse response) {
+		}
+
+		@Override
+		public void onHttpError(HttpClientConnection connection, Exception failure) {
+		}
+
+		@Override
+		public void onMalformedHttpResponse(HttpClientConnection connection, MalformedHttpException failure,
+				byte[] bytes) {
+		}
+
+		@Override
+		public void onDisconnect(HttpClientConnection connection) {
+		}
+
+		@Override
+		public <T extends HttpClient.Inspector> T lookup(Class<T> type) {
+			return type.isInstance(this) ? type.cast(this) : null;
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Calls over HTTP to the platform and to endpoints.
+ */
+package carawayswitch.http;
--- /dev/null
+++ b/src/main/java/carawayswitch/membership/AssignmentPlanner.java
@@ -0,0 +1,71 @@
+package carawayswitch.membership;
+
+import java.util.List;
+import java.util.function.Predicate;
+
+import io.vavr.control.Option;
+
+import carawayswitch.message.GuardAssignment;
+import carawayswitch.message.GuardMember;
+import carawayswitch.message.Member;
+
+/**
+ * Proposes the next assignment of a region's slots when its hosts have changed. Only the
+ * working host with the lowest id proposes; a proposal that loses a race is ignored by
+ * the fold. Not safe for use by several threads.
+ */
+public final class AssignmentPlanner {
+
+	private final long settleMillis;
+
+	private List<GuardMember> wanted = List.of();
+
+	private long wantedSince;
+
+	/**
+	 * Creates a planner.
+	 * @param settleMillis time in milliseconds for which the hosts must stay the same
+	 */
+	public AssignmentPlanner(long settleMillis) {
+		this.settleMillis = settleMillis;
+	}
+
+	/**
+	 * Proposes an assignment if one is due.
+	 * @param view the present view
+	 * @param current the assignment in force, or null
+	 * @param possible tells whether a member of the assignment in force may still run
+	 * @param now monotonic time in milliseconds
+	 * @return the proposal, or nothing
+	 */
+	public Option<GuardAssignment> propose(MembershipView view, GuardAssignment current,
+			Predicate<GuardMember> possible, long now) {
+		String region = view.self().region();
+		List<Member> hosts = view.working().stream().filter((member) -> member.region().equals(region)).toList();
+		List<GuardMember> members = hosts.stream()
+			.map((member) -> new GuardMember(member.host(), member.incarnation(), member.zone()))
+			.toList();
+		if (!members.equals(this.wanted)) {
+			this.wanted = members;
+			this.wantedSince = now;
+		}
+		boolean proposer = !hosts.isEmpty() && hosts.get(0).host().equals(view.self().host());
+		boolean changed = current == null || !current.members().equals(members);
+		if (!proposer || !changed || now - this.wantedSince < this.settleMillis) {
+			return Option.none();
+		}
+		if (current != null && !majorityKept(view, current, possible)) {
+			return Option.none();
+		}
+		this.wantedSince = now;
+		long epoch = (current != null) ? current.epoch() + 1 : 1;
+		return Option.of(new GuardAssignment(region, epoch, members));
+	}
+
+	private static boolean majorityKept(MembershipView view, GuardAssignment current, Predicate<GuardMember> possible) {
+		List<GuardMember> remaining = current.members().stream().filter(possible).toList();
+		long live = remaining.stream().filter((member) -> view.live().containsKey(member.host())).count();
+		return live * 2 > remaining.size() || remaining.isEmpty();
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/message/MessageCodec.java
@@ -0,0 +1,73 @@
+package carawayswitch.message;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+import io.vavr.control.Option;
+import io.vavr.control.Try;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Turns messages into bytes and back. Stateless and safe for use by several threads.
+ *
+ * <pre>
+ * byte[] bytes = MessageCodec.encode(new Ping(7));
+ * Message message = MessageCodec.decode(bytes).get().get();
+ * </pre>
+ */
+public final class MessageCodec {
+
+	private static final int ELEMENTS = 2;
+
+	private MessageCodec() {
+	}
+
+	/**
+	 * Encodes a message.
+	 * @param message the message
+	 * @return the bytes of the message
+	 */
+	public static byte[] encode(Message message) {
+		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+			packer.packArrayHeader(ELEMENTS);
+			packer.packInt(message.messageId());
+			message.writeTo(packer);
+			return packer.toByteArray();
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException(ex);
+		}
+	}
+
+	/**
+	 * Decodes a message.
+	 * @param bytes the bytes of the message
+	 * @return the message, nothing if its type is unknown, or the failure if the bytes
+	 * are malformed
+	 */
+	public static Try<Option<Message>> decode(byte[] bytes) {
+		return Try.of(() -> {
+			try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+				int elements = unpacker.unpackArrayHeader();
+				if (elements < ELEMENTS) {
+					throw new IOException("message has " + elements + " elements instead of " + ELEMENTS);
+				}
+				return Option.of(MessageReaders.read(unpacker.unpackInt(), unpacker));
+			}
+		});
+	}
+
+	/**
+	 * Decodes a message of a given type.
+	 * @param <T> type of the message
+	 * @param type type of the message
+	 * @param bytes the bytes of the message
+	 * @return the message, or nothing if the bytes hold something else
+	 */
+	public static <T extends Message> Option<T> decode(Class<T> type, byte[] bytes) {
+		return decode(bytes).toOption().flatMap((message) -> message).filter(type::isInstance).map(type::cast);
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/message/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Messages between hosts and records of the log with their MessagePack codecs.
+ */
+package carawayswitch.message;
--- /dev/null
+++ b/src/main/java/carawayswitch/metrics/HostMetrics.java
@@ -0,0 +1,85 @@
+package carawayswitch.metrics;
+
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Tags;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+
+/**
+ * Metrics of one host in a Prometheus registry. Safe for use by several threads.
+ */
+public final class HostMetrics {
+
+	private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+
+	private final ConcurrentMap<CounterKey, Counter> counters = new ConcurrentHashMap<>();
+
+	private final ConcurrentMap<CounterKey, Timer> timers = new ConcurrentHashMap<>();
+
+	/**
+	 * Adds to a counter.
+	 * @param metric the counter
+	 * @param amount the amount
+	 * @param tags keys and values in turn
+	 */
+	public void add(Metric metric, double amount, String... tags) {
+		this.counters
+			.computeIfAbsent(new CounterKey(metric, String.join("|", tags)),
+					(key) -> Counter.builder(metric.label())
+						.description(metric.description())
+						.tags(Tags.of(tags))
+						.register(this.registry))
+			.increment(amount);
+	}
+
+	/**
+	 * Records a length of time.
+	 * @param metric the timer
+	 * @param millis the time in milliseconds
+	 * @param tags keys and values in turn
+	 */
+	public void record(Metric metric, long millis, String... tags) {
+		this.timers
+			.computeIfAbsent(new CounterKey(metric, String.join("|", tags)),
+					(key) -> Timer.builder(metric.label())
+						.description(metric.description())
+						.publishPercentiles(0.5, 0.95, 0.99)
+						.tags(Tags.of(tags))
+						.register(this.registry))
+			.record(Math.max(0, millis), TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Registers a gauge.
+	 * @param metric the gauge
+	 * @param value returns the present value; called by any thread
+	 * @param tags keys and values in turn
+	 */
+	public void gauge(Metric metric, Supplier<Number> value, String... tags) {
+		Gauge.builder(metric.label(), value)
+			.description(metric.description())
+			.tags(Tags.of(tags))
+			.strongReference(true)
+			.register(this.registry);
+	}
+
+	/**
+	 * Returns all metrics in the text format of Prometheus.
+	 * @return the text
+	 */
+	public String scrape() {
+		return this.registry.scrape();
+	}
+
+	private record CounterKey(Metric metric, String tags) {
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/metrics/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Metrics of a host.
+ */
+package carawayswitch.metrics;
--- /dev/null
+++ b/src/main/java/carawayswitch/outcome/ErrorKind.java
@@ -0,0 +1,170 @@
+package carawayswitch.outcome;
+
+import java.util.Locale;
+
+/**
+ * The closed list of errors with the table from kind to answer. Immutable.
+ */
+public enum ErrorKind {
+
+	/** The request is malformed. */
+	BAD_REQUEST(400, Outcome.NOT_RUN, false, "the request is malformed"),
+
+	/** The body is not valid JSON or lacks a required field. */
+	BAD_JSON(400, Outcome.NOT_RUN, false, "the body is not the expected JSON"),
+
+	/** The idempotency key is not a UUID of version 7, or lies in the future. */
+	BAD_IDEMPOTENCY_KEY(400, Outcome.NOT_RUN, false, "Idempotency-Key must be a UUID of version 7"),
+
+	/** The bearer token is missing or unknown. */
+	UNAUTHENTICATED(401, Outcome.NOT_RUN, false, "the bearer token is missing or unknown"),
+
+	/** The token does not allow the operation. */
+	FORBIDDEN(403, Outcome.NOT_RUN, false, "the token does not allow this operation"),
+
+	/** No such path. */
+	NOT_FOUND(404, Outcome.NOT_RUN, false, "there is no such resource"),
+
+	/** No service or model has the name. */
+	UNKNOWN_SERVICE(404, Outcome.NOT_RUN, false, "no service or model has this name"),
+
+	/** No profile has the name, or the service does not accept it. */
+	UNKNOWN_PROFILE(400, Outcome.NOT_RUN, false, "the service accepts no profile of this name"),
+
+	/** The name exists in both fleets. */
+	AMBIGUOUS_NAME(400, Outcome.NOT_RUN, false, "the name exists in several fleets and must be qualified"),
+
+	/** The caller was too slow in sending its request. */
+	REQUEST_TIMEOUT(408, Outcome.NOT_RUN, true, "the request was not received in time"),
+
+	/** The body is too large. */
+	BODY_TOO_LARGE(413, Outcome.NOT_RUN, false, "the body is too large"),
+
+	/** The idempotency key belongs to a request with another method, path or body. */
+	KEY_CONFLICT(422, Outcome.NOT_RUN, false, "the idempotency key belongs to a different request"),
+
+	/** The queue is full. */
+	OVERLOADED(429, Outcome.NOT_RUN, true, "the queue is full"),
+
+	/** The organisation exceeds its admission limit. */
+	ORGANISATION_LIMIT(429, Outcome.NOT_RUN, true, "the organisation exceeds its limit"),
+
+	/** The deadline could not be met and nothing was started. */
+	DEADLINE_CANNOT_BE_MET(503, Outcome.NOT_RUN, true, "the deadline cannot be met"),
+
+	/** No endpoint is available. */
+	NO_ENDPOINT(503, Outcome.NOT_RUN, true, "no endpoint is available"),
+
+	/** The host is stopping. */
+	HOST_STOPPING(503, Outcome.NOT_RUN, true, "the host is stopping"),
+
+	/** The endpoint could not be reached. */
+	ENDPOINT_UNREACHABLE(502, Outcome.NOT_RUN, true, "the endpoint could not be reached"),
+
+	/** The caller went away before the request was started. */
+	CALLER_GONE(499, Outcome.NOT_RUN, false, "the caller went away"),
+
+	/** The deadline passed while the endpoint worked. */
+	DEADLINE_EXCEEDED(504, Outcome.UNKNOWN, false, "the deadline passed while the endpoint worked"),
+
+	/** The connection was lost after the request was written. */
+	CONNECTION_LOST(502, Outcome.UNKNOWN, false, "the connection was lost after the request was sent"),
+
+	/** The answer broke off. */
+	STREAM_BROKEN(502, Outcome.UNKNOWN, false, "the answer broke off"),
+
+	/** The owner of the idempotency key cannot tell whether the key was dispatched. */
+	KEY_OUTCOME_UNKNOWN(409, Outcome.UNKNOWN, false, "it is not known whether a request with this key was run"),
+
+	/** The idempotency key is older than the dedupe window. */
+	KEY_EXPIRED(409, Outcome.UNKNOWN, false, "the idempotency key is too old to tell whether it was run"),
+
+	/** The owner of the idempotency key could not be reached. */
+	KEY_OWNER_UNREACHABLE(503, Outcome.UNKNOWN, true, "the owner of the idempotency key could not be reached"),
+
+	/** A key's earlier request was answered, but its answer is no longer kept. */
+	ANSWER_NOT_KEPT(409, Outcome.UNKNOWN, false, "a request with this key was dispatched; its answer is not kept"),
+
+	/** The revision that a change is based on is not the current one. */
+	REVISION_CONFLICT(409, Outcome.NOT_RUN, false, "the entity was changed by someone else"),
+
+	/** The body of a change is not valid. */
+	INVALID_CHANGE(400, Outcome.NOT_RUN, false, "the change is not valid"),
+
+	/** The log did not confirm the change in time. */
+	LOG_UNAVAILABLE(503, Outcome.UNKNOWN, true,
+			"the log did not confirm the change; repeat it with the same change id"),
+
+	/** A defect. */
+	INTERNAL(500, Outcome.UNKNOWN, false, "internal error");
+
+	private final int status;
+
+	private final Outcome outcome;
+
+	private final boolean retryable;
+
+	private final String message;
+
+	ErrorKind(int status, Outcome outcome, boolean retryable, String message) {
+		this.status = status;
+		this.outcome = outcome;
+		this.retryable = retryable;
+		this.message = message;
+	}
+
+	/**
+	 * Returns the HTTP status.
+	 * @return the status code
+	 */
+	public int status() {
+		return this.status;
+	}
+
+	/**
+	 * Returns the outcome that the kind implies.
+	 * @return the outcome
+	 */
+	public Outcome outcome() {
+		return this.outcome;
+	}
+
+	/**
+	 * Returns whether the caller may repeat the request with the same key.
+	 * @return true if a repetition is safe
+	 */
+	public boolean retryable() {
+		return this.retryable;
+	}
+
+	/**
+	 * Returns the text for people.
+	 * @return the message
+	 */
+	public String message() {
+		return this.message;
+	}
+
+	/**
+	 * Returns the name in messages and answers.
+	 * @return the lower-case name
+	 */
+	public String label() {
+		return name().toLowerCase(Locale.ROOT);
+	}
+
+	/**
+	 * Finds a kind by its label.
+	 * @param label the lower-case name
+	 * @return the kind; {@link #INTERNAL} if no kind has the label
+	 */
+	public static ErrorKind ofLabel(String label) {
+		for (ErrorKind kind : values()) {
+			if (kind.label().equals(label)) {
+				return kind;
+			}
+		}
+		return INTERNAL;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/outcome/NotRunProof.java
@@ -0,0 +1,14 @@
+package carawayswitch.outcome;
+
+/**
+ * Proof that nothing was written to an endpoint and nothing will be. Only this package
+ * can create it; see {@link AttemptState} and {@link RequestLedger}. Immutable.
+ */
+public final class NotRunProof {
+
+	static final NotRunProof INSTANCE = new NotRunProof();
+
+	private NotRunProof() {
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * A request scheduler for unlike engines.
+ */
+package carawayswitch;
--- /dev/null
+++ b/src/main/java/carawayswitch/platform/HttpHostList.java
@@ -0,0 +1,64 @@
+package carawayswitch.platform;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.activej.http.HttpRequest;
+import io.activej.promise.Promise;
+import io.activej.promise.Promises;
+
+import carawayswitch.http.HttpCaller;
+import carawayswitch.http.Json;
+import carawayswitch.message.Member;
+
+/**
+ * The platform's host list over HTTP. Confined to the thread of its event loop.
+ */
+public final class HttpHostList implements HostList {
+
+	private final HttpCaller caller;
+
+	private final String url;
+
+	private final Duration timeout;
+
+	/**
+	 * Creates an adapter.
+	 * @param caller sends the requests
+	 * @param url address of the list
+	 * @param timeout longest wait for one call
+	 */
+	public HttpHostList(HttpCaller caller, URI url, Duration timeout) {
+		this.caller = caller;
+		this.url = url.toString();
+		this.timeout = timeout;
+	}
+
+	@Override
+	public Promise<List<Member>> read() {
+		Promise<List<Member>> answer = this.caller.send(HttpRequest.get(this.url).build(), true)
+			.then((response) -> response.loadBody())
+			.map((body) -> {
+				JsonNode tree = Json.parse(body.getArray())
+					.getOrElseThrow(() -> new PlatformException("malformed host list"));
+				return members(tree);
+			});
+		return Promises.timeout(this.timeout, answer);
+	}
+
+	private static List<Member> members(JsonNode tree) throws PlatformException {
+		if (!tree.path("hosts").isArray()) {
+			throw new PlatformException("host list without hosts");
+		}
+		List<Member> members = new ArrayList<>();
+		for (JsonNode host : tree.get("hosts")) {
+			members.add(new Member(host.path("id").asText(), 0, 0, host.path("zone").asText(),
+					host.path("region").asText(), host.path("address").asText(), host.path("leaving").asBoolean()));
+		}
+		return members;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/platform/HttpLogService.java
@@ -0,0 +1,78 @@
+package carawayswitch.platform;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.activej.http.HttpRequest;
+import io.activej.promise.Promise;
+import io.activej.promise.Promises;
+
+import carawayswitch.http.HttpCaller;
+import carawayswitch.http.Json;
+import carawayswitch.message.LogRecord;
+
+/**
+ * The platform's log over HTTP. Confined to the thread of its event loop.
+ */
+public final class HttpLogService implements LogService {
+
+	private static final int OK = 200;
+
+	private final HttpCaller caller;
+
+	private final String baseUrl;
+
+	private final Duration timeout;
+
+	/**
+	 * Creates an adapter.
+	 * @param caller sends the requests
+	 * @param baseUrl base URL of the log service
+	 * @param timeout longest wait for one call
+	 */
+	public HttpLogService(HttpCaller caller, URI baseUrl, Duration timeout) {
+		this.caller = caller;
+		this.baseUrl = baseUrl.toString();
+		this.timeout = timeout;
+	}
+
+	@Override
+	public Promise<Long> append(String stream, byte[] payload) {
+		HttpRequest request = HttpRequest.post(this.baseUrl + "/streams/" + stream).withBody(payload).build();
+		return call(request, false).map((tree) -> tree.get("offset").asLong());
+	}
+
+	@Override
+	public Promise<Page> read(String stream, long fromOffset, int limit) {
+		String query = "?from=" + Math.max(0, fromOffset) + "&limit=" + limit;
+		HttpRequest request = HttpRequest.get(this.baseUrl + "/streams/" + stream + query).build();
+		return call(request, true).map(HttpLogService::page);
+	}
+
+	private Promise<JsonNode> call(HttpRequest request, boolean idempotent) {
+		Promise<JsonNode> answer = this.caller.send(request, idempotent).then((response) -> {
+			int code = response.getCode();
+			return response.loadBody().map((body) -> {
+				if (code != OK) {
+					throw new PlatformException("the log answered with status " + code);
+				}
+				return Json.parse(body.getArray()).getOrElseThrow(() -> new PlatformException("malformed answer"));
+			});
+		});
+		return Promises.timeout(this.timeout, answer);
+	}
+
+	private static Page page(JsonNode tree) {
+		List<LogRecord> records = new ArrayList<>();
+		for (JsonNode entry : tree.get("records")) {
+			byte[] payload = Base64.getDecoder().decode(entry.get("payload").asText());
+			records.add(new LogRecord(entry.get("offset").asLong(), payload));
+		}
+		return new Page(tree.get("first").asLong(), tree.get("next").asLong(), records);
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/schedule/EndpointChooser.java
@@ -0,0 +1,79 @@
+package carawayswitch.schedule;
+
+import java.util.List;
+import java.util.random.RandomGenerator;
+
+import org.apache.commons.codec.digest.MurmurHash3;
+
+/**
+ * Chooses an endpoint for work: the best of a few random endpoints and of the endpoint
+ * that most likely holds the prompt's prefix. The random sample keeps hosts that see the
+ * same old digest from choosing the same endpoint. Stateless but for the random generator
+ * that is passed in.
+ */
+public final class EndpointChooser {
+
+	/** Number of endpoints that are compared. */
+	static final int SAMPLE = 3;
+
+	private static final double REMOTE_ZONE_MILLIS = 2;
+
+	private EndpointChooser() {
+	}
+
+	/**
+	 * Chooses an endpoint.
+	 * @param candidates the endpoints that may serve the work
+	 * @param work the work
+	 * @param random source of random numbers
+	 * @param now time in milliseconds
+	 * @return the endpoint, or null if there is no candidate
+	 */
+	public static Candidate choose(List<Candidate> candidates, Work work, RandomGenerator random, long now) {
+		if (candidates.isEmpty()) {
+			return null;
+		}
+		Candidate best = (work.prefixHash() != 0) ? prefixHolder(candidates, work.prefixHash()) : null;
+		double bestMillis = (best != null) ? millis(best, work, work.prefixTokens(), now) : Double.MAX_VALUE;
+		boolean all = candidates.size() <= SAMPLE;
+		for (int i = 0; i < Math.min(SAMPLE, candidates.size()); i++) {
+			Candidate candidate = candidates.get(all ? i : random.nextInt(candidates.size()));
+			double estimate = millis(candidate, work, 0, now);
+			boolean holder = candidate == best;
+			if (!holder && estimate < bestMillis) {
+				best = candidate;
+				bestMillis = estimate;
+			}
+		}
+		return best;
+	}
+
+	private static double millis(Candidate candidate, Work work, int cachedTokens, long now) {
+		int cached = Math.min(cachedTokens, work.promptTokens());
+		return candidate.view().estimateMillis(work, cached, now) + (candidate.sameZone() ? 0 : REMOTE_ZONE_MILLIS);
+	}
+
+	private static Candidate prefixHolder(List<Candidate> candidates, long prefixHash) {
+		Candidate holder = null;
+		long highest = Long.MIN_VALUE;
+		for (Candidate candidate : candidates) {
+			long score = MurmurHash3.hash32(prefixHash, candidate.view().id().hashCode());
+			if (score > highest) {
+				highest = score;
+				holder = candidate;
+			}
+		}
+		return holder;
+	}
+
+	/**
+	 * An endpoint that may serve the work. Immutable.
+	 *
+	 * @param view what is known of its load
+	 * @param sameZone true if it lies in the availability zone of this host
+	 */
+	public record Candidate(EndpointView view, boolean sameZone) {
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/schedule/FairQueue.java
@@ -0,0 +1,264 @@
+package carawayswitch.schedule;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import carawayswitch.config.Tier;
+
+/**
+ * Queue of one endpoint: by urgency, then fairly by kind of work, then fairly by
+ * organisation, then in order of arrival. Work that was removed stays in its
+ * organisation's queue as a tombstone until it is reached. Not safe for use by several
+ * threads.
+ */
+final class FairQueue {
+
+	private final List<FairGroup<KindQueue>> levels = new ArrayList<>();
+
+	private final double[] levelCost = new double[Tier.URGENCIES];
+
+	private final Map<String, Work> byId = new HashMap<>();
+
+	private long bytes;
+
+	FairQueue() {
+		for (int urgency = 0; urgency < Tier.URGENCIES; urgency++) {
+			this.levels.add(new FairGroup<>());
+		}
+	}
+
+	void add(Work work) {
+		KindQueue kind = this.levels.get(work.urgency()).childFor(work.kind(), KindQueue::new);
+		OrganisationQueue organisation = kind.organisations.childFor(work.organisation(), OrganisationQueue::new);
+		organisation.entries.addLast(work);
+		account(kind, organisation, work, 1);
+		this.byId.put(work.id(), work);
+	}
+
+	void addFirst(Work work) {
+		KindQueue kind = this.levels.get(work.urgency()).childFor(work.kind(), KindQueue::new);
+		OrganisationQueue organisation = kind.organisations.childFor(work.organisation(), OrganisationQueue::new);
+		organisation.entries.addFirst(work);
+		account(kind, organisation, work, 1);
+		this.byId.put(work.id(), work);
+	}
+
+	private void account(KindQueue kind, OrganisationQueue organisation, Work work, int sign) {
+		double cost = sign * work.cost();
+		kind.queuedCost += cost;
+		kind.queued += sign;
+		organisation.queuedCost += cost;
+		organisation.queued += sign;
+		this.levelCost[work.urgency()] += cost;
+		this.bytes += sign * (long) work.bytes();
+	}
+
+	Work peek(int urgency) {
+		KindQueue kind = this.levels.get(urgency).first();
+		if (kind == null) {
+			return null;
+		}
+		OrganisationQueue organisation = kind.organisations.first();
+		skipTombstones(organisation);
+		return organisation.entries.peekFirst();
+	}
+
+	Work poll(int urgency) {
+		Work work = peek(urgency);
+		if (work != null) {
+			FairGroup<KindQueue> level = this.levels.get(urgency);
+			KindQueue kind = level.find(work.kind());
+			OrganisationQueue organisation = kind.organisations.find(work.organisation());
+			level.charge(kind, work.cost(), work.kindWeight());
+			kind.organisations.charge(organisation, work.cost(), work.organisationWeight());
+			remove(work.id());
+		}
+		return work;
+	}
+
+	Work remove(String id) {
+		Work work = this.byId.remove(id);
+		if (work == null) {
+			return null;
+		}
+		FairGroup<KindQueue> level = this.levels.get(work.urgency());
+		KindQueue kind = level.find(work.kind());
+		OrganisationQueue organisation = kind.organisations.find(work.organisation());
+		account(kind, organisation, work, -1);
+		if (organisation.queued == 0) {
+			kind.organisations.retire(organisation);
+		}
+		else {
+			skipTombstones(organisation);
+		}
+		if (kind.queued == 0) {
+			level.retire(kind);
+		}
+		return work;
+	}
+
+	private void skipTombstones(OrganisationQueue organisation) {
+		while (!organisation.entries.isEmpty()
+				&& this.byId.get(organisation.entries.peekFirst().id()) != organisation.entries.peekFirst()) {
+			organisation.entries.removeFirst();
+		}
+	}
+
+	/**
+	 * Corrects the shares after the true cost of dispatched work is known.
+	 * @param work the dispatched work
+	 * @param trueCost its true cost
+	 */
+	void correct(Work work, double trueCost) {
+		KindQueue kind = this.levels.get(work.urgency()).find(work.kind());
+		if (kind == null) {
+			return;
+		}
+		double surplus = work.cost() - trueCost;
+		OrganisationQueue organisation = kind.organisations.find(work.organisation());
+		if (surplus > 0) {
+			this.levels.get(work.urgency()).refund(kind, surplus, work.kindWeight());
+		}
+		else {
+			this.levels.get(work.urgency()).charge(kind, -surplus, work.kindWeight());
+		}
+		if (organisation != null && surplus > 0) {
+			kind.organisations.refund(organisation, surplus, work.organisationWeight());
+		}
+		else if (organisation != null) {
+			kind.organisations.charge(organisation, -surplus, work.organisationWeight());
+		}
+	}
+
+	/**
+	 * Estimates the cost that will be served before new work: all more urgent work, and
+	 * of its own level what fair sharing lets pass.
+	 * @param work the new work
+	 * @return the cost
+	 */
+	double costAhead(Work work) {
+		double ahead = 0;
+		for (int urgency = work.urgency() + 1; urgency < Tier.URGENCIES; urgency++) {
+			ahead += this.levelCost[urgency];
+		}
+		FairGroup<KindQueue> level = this.levels.get(work.urgency());
+		KindQueue kind = level.find(work.kind());
+		double ownKind = 0;
+		int kinds = level.size() + 1;
+		if (kind != null) {
+			OrganisationQueue organisation = kind.organisations.find(work.organisation());
+			double ownOrganisation = (organisation != null) ? organisation.queuedCost : 0;
+			int organisations = kind.organisations.size() + ((organisation != null) ? 0 : 1);
+			ownKind = Math.min(kind.queuedCost, (ownOrganisation + work.cost()) * organisations);
+			kinds = level.size();
+		}
+		return ahead + Math.min(this.levelCost[work.urgency()], (ownKind + work.cost()) * kinds);
+	}
+
+	/**
+	 * Finds work to drop in favour of more urgent work: the newest of the organisation
+	 * and kind with the longest queue at the lowest urgency.
+	 * @param belowUrgency urgency of the new work
+	 * @return the work, or null
+	 */
+	Work dropCandidate(int belowUrgency) {
+		for (int urgency = 0; urgency < belowUrgency; urgency++) {
+			KindQueue longest = null;
+			for (KindQueue kind : this.levels.get(urgency).inOrder()) {
+				longest = (longest == null || kind.queuedCost > longest.queuedCost) ? kind : longest;
+			}
+			Work candidate = (longest != null) ? newestSheddable(longest) : null;
+			if (candidate != null) {
+				return candidate;
+			}
+		}
+		return null;
+	}
+
+	private Work newestSheddable(KindQueue kind) {
+		OrganisationQueue longest = null;
+		for (OrganisationQueue organisation : kind.organisations.inOrder()) {
+			longest = (longest == null || organisation.queuedCost > longest.queuedCost) ? organisation : longest;
+		}
+		for (var newest = longest.entries.descendingIterator(); newest.hasNext();) {
+			Work work = newest.next();
+			if (this.byId.get(work.id()) == work && work.pressure().sheddable()) {
+				return work;
+			}
+		}
+		return null;
+	}
+
+	List<Work> all() {
+		return new ArrayList<>(this.byId.values());
+	}
+
+	int highestUrgency() {
+		for (int urgency = Tier.HIGHEST_URGENCY; urgency >= 0; urgency--) {
+			if (!this.levels.get(urgency).isEmpty()) {
+				return urgency;
+			}
+		}
+		return -1;
+	}
+
+	int lowestUrgency() {
+		for (int urgency = 0; urgency < Tier.URGENCIES; urgency++) {
+			if (!this.levels.get(urgency).isEmpty()) {
+				return urgency;
+			}
+		}
+		return -1;
+	}
+
+	double levelCost(int urgency) {
+		return this.levelCost[urgency];
+	}
+
+	long bytes() {
+		return this.bytes;
+	}
+
+	int size() {
+		return this.byId.size();
+	}
+
+	/**
+	 * Queue of one kind of work.
+	 */
+	private static final class KindQueue extends FairGroup.Child {
+
+		private final FairGroup<OrganisationQueue> organisations = new FairGroup<>();
+
+		private double queuedCost;
+
+		private int queued;
+
+		KindQueue(String name) {
+			super(name);
+		}
+
+	}
+
+	/**
+	 * Queue of one organisation within a kind of work.
+	 */
+	private static final class OrganisationQueue extends FairGroup.Child {
+
+		private final Deque<Work> entries = new ArrayDeque<>();
+
+		private double queuedCost;
+
+		private int queued;
+
+		OrganisationQueue(String name) {
+			super(name);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/schedule/WorkFactory.java
@@ -0,0 +1,61 @@
+package carawayswitch.schedule;
+
+import carawayswitch.config.ConfigurationState;
+import carawayswitch.config.EntityKind;
+import carawayswitch.config.Names;
+import carawayswitch.config.Organisation;
+import carawayswitch.config.Profile;
+import carawayswitch.config.Tier;
+import carawayswitch.message.ForwardRequest;
+
+/**
+ * Describes attempts to the scheduler from the configuration. Stateless.
+ */
+public final class WorkFactory {
+
+	private WorkFactory() {
+	}
+
+	/**
+	 * Returns the urgency of a profile.
+	 * @param state the configuration
+	 * @param profileName qualified name of the profile
+	 * @param profile the profile
+	 * @return the shared urgency; the lowest if the tier is not configured
+	 */
+	public static int urgency(ConfigurationState state, String profileName, Profile profile) {
+		String tier = Names.qualify(Names.fleet(profileName), profile.tier());
+		return state.find(Tier.class, EntityKind.TIER, tier).map(Tier::urgency).getOrElse(0);
+	}
+
+	/**
+	 * Describes an attempt.
+	 * @param request the attempt
+	 * @param id id of the attempt
+	 * @param state the configuration
+	 * @param lengths expected lengths of answers
+	 * @param now time in milliseconds
+	 * @return the work, or null if the profile is not configured
+	 */
+	public static Work work(ForwardRequest request, String id, ConfigurationState state, LengthEstimate lengths,
+			long now) {
+		Profile profile = state.find(Profile.class, EntityKind.PROFILE, request.profile()).getOrNull();
+		if (profile == null) {
+			return null;
+		}
+		int organisationWeight = state.find(Organisation.class, EntityKind.ORGANISATION, request.organisation())
+			.map(Organisation::weight)
+			.getOrElse(1);
+		String kind = profile.kind().isEmpty() ? request.profile()
+				: Names.fleet(request.profile()) + '/' + profile.kind();
+		int expected = (request.promptTokens() > 0)
+				? lengths.expected(request.profile(), request.organisation(), profile.expectedTokens()) : 0;
+		if (request.maxTokens() > 0) {
+			expected = Math.min(expected, request.maxTokens());
+		}
+		return new Work(id, urgency(state, request.profile(), profile), kind, profile.weight(), request.organisation(),
+				organisationWeight, profile.pressure(), request.promptTokens(), request.prefixHash(),
+				request.prefixTokens(), expected, request.body().length, now, now + request.deadlineMillis());
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/settings/SettingType.java
@@ -0,0 +1,159 @@
+package carawayswitch.settings;
+
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import io.vavr.control.Option;
+import io.vavr.control.Try;
+
+/**
+ * Types of setting values with their text form. Stateless.
+ */
+enum SettingType {
+
+	/** Any text. */
+	STRING("non-empty text") {
+		@Override
+		Option<Object> parse(String text) {
+			return Option.<Object>of(text).filter((value) -> !text.isBlank());
+		}
+	},
+
+	/** A whole number. */
+	INT("a whole number") {
+		@Override
+		Option<Object> parse(String text) {
+			return Try.<Object>of(() -> Integer.parseInt(text)).toOption();
+		}
+	},
+
+	/** A number with a fraction. */
+	DOUBLE("a number") {
+		@Override
+		Option<Object> parse(String text) {
+			return Try.<Object>of(() -> Double.parseDouble(text)).toOption();
+		}
+	},
+
+	/** True or false. */
+	BOOLEAN("true or false") {
+		@Override
+		Option<Object> parse(String text) {
+			return Option.<Object>of(Boolean.valueOf(text)).filter((value) -> value.toString().equals(text));
+		}
+	},
+
+	/** A length of time. */
+	DURATION("a duration such as 500ms, 2s, 5m or 1h") {
+		@Override
+		Option<Object> parse(String text) {
+			return quantity(text, "ms|s|m|h").flatMap((parts) -> scaled(parts, switch (parts.group(2)) {
+				case "s" -> 1000L;
+				case "m" -> 60_000L;
+				case "h" -> 3_600_000L;
+				default -> 1L;
+			})).map(Duration::ofMillis);
+		}
+
+		@Override
+		String unit() {
+			return " ms";
+		}
+	},
+
+	/** A number of bytes. */
+	BYTES("a size such as 4096b, 64kb or 8mb") {
+		@Override
+		Option<Object> parse(String text) {
+			return quantity(text, "b|kb|mb").flatMap((parts) -> scaled(parts, switch (parts.group(2)) {
+				case "kb" -> 1024L;
+				case "mb" -> 1024L * 1024;
+				default -> 1L;
+			})).filter((value) -> value <= Integer.MAX_VALUE).map(Long::intValue);
+		}
+
+		@Override
+		String unit() {
+			return " bytes";
+		}
+	},
+
+	/** An IP address with a port. */
+	ADDRESS("an IP address with a port, such as 127.0.0.1:8080") {
+		@Override
+		Option<Object> parse(String text) {
+			Matcher parts = Pattern.compile("(\\d{1,3}(?:\\.\\d{1,3}){3}):(\\d{1,5})").matcher(text);
+			if (!parts.matches()) {
+				return Option.none();
+			}
+			return Try.<Object>of(() -> new InetSocketAddress(parts.group(1), Integer.parseInt(parts.group(2))))
+				.toOption();
+		}
+	},
+
+	/** An HTTP URL. */
+	URL("an http URL with an IP address, such as http://127.0.0.1:7001") {
+		@Override
+		Option<Object> parse(String text) {
+			return Option.<Object>of(text)
+				.filter((value) -> text.matches("http://[0-9.]+:\\d+(/.*)?"))
+				.map((value) -> URI.create(text));
+		}
+	},
+
+	/** A SHA-256 hash. */
+	HASH("64 hexadecimal digits") {
+		@Override
+		Option<Object> parse(String text) {
+			return Option.<Object>of(text.toLowerCase(Locale.ROOT)).filter((value) -> text.matches("[0-9a-fA-F]{64}"));
+		}
+	},
+
+	/** A secret text. */
+	SECRET("at least 16 characters") {
+		@Override
+		Option<Object> parse(String text) {
+			return Option.<Object>of(text).filter((value) -> text.length() >= SECRET_LENGTH);
+		}
+	};
+
+	private static final int SECRET_LENGTH = 16;
+
+	private final String description;
+
+	SettingType(String description) {
+		this.description = description;
+	}
+
+	abstract Option<Object> parse(String text);
+
+	String description() {
+		return this.description;
+	}
+
+	String unit() {
+		return "";
+	}
+
+	boolean numeric() {
+		return this == INT || this == DOUBLE || this == DURATION || this == BYTES;
+	}
+
+	static double magnitude(Object value) {
+		return (value instanceof Duration duration) ? duration.toMillis() : ((Number) value).doubleValue();
+	}
+
+	private static Option<Matcher> quantity(String text, String units) {
+		Matcher parts = Pattern.compile("(\\d{1,12})(" + units + ")").matcher(text);
+		return parts.matches() ? Option.of(parts) : Option.none();
+	}
+
+	private static Option<Long> scaled(Matcher parts, long factor) {
+		return Try.of(() -> Math.multiplyExact(Long.parseLong(parts.group(1)), factor)).toOption();
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/settings/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Checked settings of a host.
+ */
+package carawayswitch.settings;
--- /dev/null
+++ b/src/main/java/carawayswitch/standin/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Small stand-ins for the platform and for endpoints, for trials and tests.
+ */
+package carawayswitch.standin;
--- /dev/null
+++ b/src/main/java/carawayswitch/transport/FrameConsumer.java
@@ -0,0 +1,28 @@
+package carawayswitch.transport;
+
+import java.util.function.Consumer;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.csp.consumer.AbstractChannelConsumer;
+import io.activej.promise.Promise;
+
+/**
+ * Passes each frame to a function. Confined to the thread of the transport.
+ */
+final class FrameConsumer extends AbstractChannelConsumer<ByteBuf> {
+
+	private final Consumer<ByteBuf> onFrame;
+
+	FrameConsumer(Consumer<ByteBuf> onFrame) {
+		this.onFrame = onFrame;
+	}
+
+	@Override
+	protected Promise<Void> doAccept(ByteBuf frame) {
+		if (frame != null) {
+			this.onFrame.accept(frame);
+		}
+		return Promise.complete();
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/transport/IncomingLink.java
@@ -0,0 +1,129 @@
+package carawayswitch.transport;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.csp.binary.BinaryChannelSupplier;
+import io.activej.csp.supplier.ChannelSuppliers;
+import io.activej.net.socket.tcp.ITcpSocket;
+import io.activej.reactor.nio.NioReactor;
+import io.vavr.control.Option;
+import io.vavr.control.Try;
+
+import carawayswitch.log.LogEvent;
+import carawayswitch.message.Hello;
+import carawayswitch.message.Message;
+import carawayswitch.message.MessageCodec;
+import carawayswitch.message.Ping;
+import carawayswitch.message.Pong;
+import carawayswitch.message.Proof;
+
+/**
+ * Connection that another host opened to this one. Passes messages on only after the
+ * other host has proved that it knows the secret. Confined to the thread of the
+ * transport.
+ */
+final class IncomingLink {
+
+	private final NioReactor reactor;
+
+	private final PeerIdentity identity;
+
+	private final ITcpSocket socket;
+
+	private final PeerHandler handler;
+
+	private final Runnable onClosed;
+
+	private final TrafficCounter traffic;
+
+	private final byte[] challenge = PeerIdentity.newChallenge();
+
+	private String peer = "";
+
+	private long incarnation;
+
+	private boolean verified;
+
+	private boolean closed;
+
+	private long heardAt;
+
+	IncomingLink(NioReactor reactor, PeerIdentity identity, ITcpSocket socket, PeerHandler handler,
+			TrafficCounter traffic, Runnable onClosed) {
+		this.reactor = reactor;
+		this.identity = identity;
+		this.socket = socket;
+		this.handler = handler;
+		this.traffic = traffic;
+		this.onClosed = onClosed;
+	}
+
+	void start(long now) {
+		this.heardAt = now;
+		BinaryChannelSupplier.of(ChannelSuppliers.ofSocket(this.socket))
+			.decodeStream(Frames.decoder())
+			.streamTo(new FrameConsumer(this::onFrame))
+			.subscribe((done, failure) -> close((failure != null) ? String.valueOf(failure.getMessage()) : ""));
+	}
+
+	private void onFrame(ByteBuf frame) {
+		if (this.closed) {
+			return;
+		}
+		this.heardAt = this.reactor.currentTimeMillis();
+		this.traffic.received(frame.readRemaining());
+		Try<Option<Message>> decoded = MessageCodec.decode(frame.asArray());
+		if (decoded.isFailure()) {
+			close("malformed message: " + decoded.getCause().getMessage());
+			return;
+		}
+		decoded.get().forEach(this::onMessage);
+	}
+
+	private void onMessage(Message message) {
+		if (this.verified) {
+			if (message instanceof Ping ping) {
+				write(new Pong(ping.sequence()));
+			}
+			else {
+				this.handler.onMessage(this.peer, this.incarnation, message);
+			}
+		}
+		else if (message instanceof Hello hello) {
+			this.peer = hello.host();
+			this.incarnation = hello.incarnation();
+			write(new Hello(this.identity.host(), this.identity.incarnation(), this.challenge, PeerIdentity.VERSION));
+			write(new Proof(this.identity.sign(hello.challenge())));
+		}
+		else if (message instanceof Proof proof && this.identity.verify(this.challenge, this.peer, proof.signature())) {
+			this.verified = true;
+		}
+		else {
+			close("authentication failed");
+		}
+	}
+
+	private void write(Message message) {
+		ByteBuf frame = Frames.encode(message);
+		this.traffic.sent(frame.readRemaining());
+		this.socket.write(frame).whenException((failure) -> close(failure.getMessage()));
+	}
+
+	void probe(long now, long silenceMillis) {
+		if (now - this.heardAt > silenceMillis) {
+			close("silent for " + silenceMillis + " ms");
+		}
+	}
+
+	void close(String reason) {
+		if (this.closed) {
+			return;
+		}
+		this.closed = true;
+		this.socket.close();
+		if (!this.verified) {
+			LogEvent.PEER_REJECTED.log("peer", this.peer, "reason", reason);
+		}
+		this.onClosed.run();
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/transport/TrafficCounter.java
@@ -0,0 +1,50 @@
+package carawayswitch.transport;
+
+import java.util.concurrent.atomic.LongAdder;
+
+/**
+ * Counts bytes and frames between hosts. Safe for use by several threads.
+ */
+public final class TrafficCounter {
+
+	private final LongAdder sentBytes = new LongAdder();
+
+	private final LongAdder receivedBytes = new LongAdder();
+
+	private final LongAdder frames = new LongAdder();
+
+	void sent(int bytes) {
+		this.sentBytes.add(bytes);
+		this.frames.increment();
+	}
+
+	void received(int bytes) {
+		this.receivedBytes.add(bytes);
+		this.frames.increment();
+	}
+
+	/**
+	 * Returns the bytes sent.
+	 * @return number of bytes
+	 */
+	public long sentBytes() {
+		return this.sentBytes.sum();
+	}
+
+	/**
+	 * Returns the bytes received.
+	 * @return number of bytes
+	 */
+	public long receivedBytes() {
+		return this.receivedBytes.sum();
+	}
+
+	/**
+	 * Returns the frames sent and received.
+	 * @return number of frames
+	 */
+	public long frames() {
+		return this.frames.sum();
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/transport/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Framed TCP connections between hosts.
+ */
+package carawayswitch.transport;
--- /dev/null
+++ b/src/test/java/carawayswitch/codegen/CodeGeneratorTests.java
@@ -0,0 +1,29 @@
+package carawayswitch.codegen;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests that the committed generated files follow from the schema.
+ */
+class CodeGeneratorTests {
+
+	@Test
+	void committedFilesFollowFromSchema() throws IOException {
+		for (Map.Entry<Path, String> file : CodeGenerator.generate(Path.of("")).entrySet()) {
+			String committed = Files.readString(file.getKey());
+			assertThat(withoutLayout(committed)).as(file.getKey().toString()).isEqualTo(withoutLayout(file.getValue()));
+		}
+	}
+
+	private static String withoutLayout(String text) {
+		return text.replaceAll("[\\s*]+", "");
+	}
+
+}
