Key guard: a new owner takes over only after most hosts know the new assignment

Ruled out: clock skew (both wall clocks within the allowed skew) and lost lease answers (none in the trace). Change: a silent former holder is waited out only from the moment at which most hosts of each earlier assignment have folded the newest one or are gone; liveness passed on by peers carries the offset; a majority counts exact incarnations that are not ahead in the log. Conclusion: knowing the assignment has to be as persistent as the majority that it takes.

--- a/src/main/java/carawayswitch/guard/KeyGuard.java
+++ b/src/main/java/carawayswitch/guard/KeyGuard.java
@@ -48,6 +48,8 @@
 
 	private final List<Slot> slots = new ArrayList<>();
 
+	private final Map<GuardAssignment, SlotMap> maps = new HashMap<>();
+
 	private SlotMap newest;
 
 	private long lastTick = Slot.NEVER;
@@ -70,16 +72,16 @@
 	/**
 	 * Follows the assignments of the region.
 	 * @param history kept assignments, oldest first; the last one is in force
-	 * @param now monotonic time in milliseconds
 	 */
-	public void onAssignments(List<GuardAssignment> history, long now) {
+	public void onAssignments(List<GuardAssignment> history) {
 		GuardAssignment last = history.get(history.size() - 1);
 		if (this.newest != null && last.epoch() <= this.newest.epoch()) {
 			return;
 		}
+		this.maps.keySet().retainAll(history);
 		List<SlotMap> maps = new ArrayList<>();
 		for (GuardAssignment assignment : history) {
-			maps.add(SlotMap.of(assignment));
+			maps.add(this.maps.computeIfAbsent(assignment, SlotMap::of));
 		}
 		SlotMap previous = this.newest;
 		this.newest = maps.get(maps.size() - 1);
@@ -89,7 +91,7 @@
 				slot.epoch = this.newest.epoch();
 			}
 			else {
-				changeHolder(slot, maps, now);
+				changeHolder(slot, maps);
 			}
 		}
 	}
@@ -106,7 +108,7 @@
 		return true;
 	}
 
-	private void changeHolder(Slot slot, List<SlotMap> maps, long now) {
+	private void changeHolder(Slot slot, List<SlotMap> maps) {
 		slot.leasedUntil = Slot.NEVER;
 		slot.leased = false;
 		slot.released = null;
@@ -116,11 +118,11 @@
 			slot.gone.clear();
 		}
 		if (isSelf(this.newest.owner(slot.number))) {
-			startAcquiring(slot, maps, now);
+			startAcquiring(slot, maps);
 		}
 	}
 
-	private void startAcquiring(Slot slot, List<SlotMap> maps, long now) {
+	private void startAcquiring(Slot slot, List<SlotMap> maps) {
 		for (SlotMap map : maps.subList(0, maps.size() - 1)) {
 			slot.pendingReleases.addAll(map.candidates(slot.number));
 		}
@@ -128,7 +130,7 @@
 		slot.inherited = slot.holds();
 		slot.lost = false;
 		slot.authority = Authority.ACQUIRING;
-		slot.acquireAt = now + this.times.silence();
+		slot.acquireAt = Slot.UNSET;
 	}
 
 	/**
@@ -230,6 +232,9 @@
 
 	private void acquire(Slot slot, Reachability reachable, long now, long wall) {
 		slot.lost |= slot.pendingReleases.removeIf(reachable::replaced);
+		if (slot.acquireAt == Slot.UNSET && reachable.superseded()) {
+			slot.acquireAt = now + this.times.silence();
+		}
 		if (!slot.pendingReleases.isEmpty() && now < slot.acquireAt) {
 			return;
 		}
--- a/src/main/java/carawayswitch/guard/Slot.java
+++ b/src/main/java/carawayswitch/guard/Slot.java
@@ -19,6 +19,8 @@
 
 	static final long NEVER = Long.MIN_VALUE / 2;
 
+	static final long UNSET = Long.MAX_VALUE;
+
 	final int number;
 
 	final Map<String, GrantState> grants = new HashMap<>();
@@ -56,7 +58,7 @@
 	SlotState released;
 
 	/** Monotonic time at which silent former holders surely have no authority. */
-	long acquireAt = NEVER;
+	long acquireAt = UNSET;
 
 	Slot(int number) {
 		this.number = number;
--- a/src/main/java/carawayswitch/guard/SlotMap.java
+++ b/src/main/java/carawayswitch/guard/SlotMap.java
@@ -1,7 +1,6 @@
 package carawayswitch.guard;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 
 import org.apache.commons.codec.digest.MurmurHash3;
@@ -44,18 +43,33 @@
 	}
 
 	private static List<GuardMember> order(int slot, List<GuardMember> members) {
-		List<GuardMember> ranked = new ArrayList<>(members);
-		ranked.sort(Comparator.<GuardMember>comparingLong((member) -> score(slot, member.host()))
-			.reversed()
-			.thenComparing(GuardMember::host));
-		String ownerZone = ranked.get(0).zone();
-		for (int i = 1; i < ranked.size(); i++) {
-			if (!ranked.get(i).zone().equals(ownerZone)) {
-				ranked.add(1, ranked.remove(i));
-				break;
+		List<GuardMember> chosen = new ArrayList<>(CANDIDATES);
+		GuardMember owner = best(slot, members, chosen, "");
+		chosen.add(owner);
+		GuardMember guardian = best(slot, members, chosen, owner.zone());
+		if (guardian != null) {
+			chosen.add(guardian);
+		}
+		while (chosen.size() < Math.min(CANDIDATES, members.size())) {
+			chosen.add(best(slot, members, chosen, ""));
+		}
+		return List.copyOf(chosen);
+	}
+
+	private static GuardMember best(int slot, List<GuardMember> members, List<GuardMember> taken, String avoidedZone) {
+		GuardMember best = null;
+		long bestScore = 0;
+		for (GuardMember member : members) {
+			if (taken.contains(member) || member.zone().equals(avoidedZone)) {
+				continue;
+			}
+			long score = score(slot, member.host());
+			if (best == null || score > bestScore || score == bestScore && member.host().compareTo(best.host()) < 0) {
+				best = member;
+				bestScore = score;
 			}
 		}
-		return List.copyOf(ranked.subList(0, Math.min(CANDIDATES, ranked.size())));
+		return best;
 	}
 
 	private static long score(int slot, String host) {
--- a/src/main/java/carawayswitch/host/CarawayHost.java
+++ b/src/main/java/carawayswitch/host/CarawayHost.java
@@ -152,6 +152,10 @@
 
 	private long stoppingSince;
 
+	private long knownEpoch;
+
+	private long assignmentOffset;
+
 	private Reachability reachability;
 
 	private long reachabilityAt = NEVER;
@@ -207,7 +211,7 @@
 		Loops loops = Loops.start(settings);
 		String address = settings.internal().listen().getHostString() + ":" + settings.internal().listen().getPort();
 		Member self = new Member(settings.host().id(), System.currentTimeMillis(), 0, settings.host().zone(),
-				settings.host().region(), address, false);
+				settings.host().region(), address, false, -1);
 		CarawayHost host = new CarawayHost(settings, self, loops);
 		try {
 			loops.control().submit(host::listen).join();
@@ -294,8 +298,7 @@
 	}
 
 	private Heartbeat heartbeatMessage(boolean reply, long now) {
-		return new Heartbeat(this.membership.self(), this.configuration.state().offset(), this.owners.digests(),
-				this.membership.membersToPass(now), reply);
+		return new Heartbeat(this.membership.self(), this.owners.digests(), this.membership.membersToPass(now), reply);
 	}
 
 	private void refreshView(long now) {
@@ -323,8 +326,9 @@
 	private Reachability reachability() {
 		long now = MonotonicClock.millis();
 		if (now - this.reachabilityAt > STOP_CHECK_MILLIS) {
-			this.reachability = this.membership.reachability(assignment(),
-					this.settings.membership().deadAfter().toMillis(), this.configuration.state().offset(), now);
+			this.reachability = this.membership.reachability(
+					this.configuration.state().assignments(this.settings.host().region()), this.assignmentOffset,
+					this.settings.membership().deadAfter().toMillis(), now);
 			this.reachabilityAt = now;
 		}
 		return this.reachability;
@@ -400,13 +404,17 @@
 	}
 
 	private void onConfiguration() {
-		GuardAssignment before = assignment();
+		long offset = this.configuration.state().offset();
+		this.membership.folded(offset);
+		GuardAssignment newest = assignment();
+		if (newest != null && newest.epoch() > this.knownEpoch) {
+			this.knownEpoch = newest.epoch();
+			this.assignmentOffset = offset;
+			LogEvent.ASSIGNMENT_CHANGED.log("epoch", newest.epoch(), "hosts", newest.members().size());
+		}
 		this.reachabilityAt = NEVER;
 		this.guard.onConfiguration();
 		this.owners.onConfiguration();
-		if (before != null) {
-			LogEvent.ASSIGNMENT_CHANGED.log("epoch", before.epoch(), "hosts", before.members().size());
-		}
 	}
 
 	@Override
@@ -447,7 +455,7 @@
 		if (!heartbeat.reply()) {
 			this.transport.send(peer, heartbeatMessage(true, now));
 		}
-		this.follower.requestFromPeer(heartbeat.configurationOffset(), now)
+		this.follower.requestFromPeer(heartbeat.self().offset(), now)
 			.forEach((request) -> this.transport.send(peer, request));
 	}
 
--- a/src/main/java/carawayswitch/host/GuardService.java
+++ b/src/main/java/carawayswitch/host/GuardService.java
@@ -92,7 +92,7 @@
 	void onConfiguration() {
 		List<GuardAssignment> history = this.configuration.state().assignments(this.region);
 		if (!history.isEmpty()) {
-			this.guard.onAssignments(history, now());
+			this.guard.onAssignments(history);
 		}
 		tick();
 	}
--- a/src/main/java/carawayswitch/membership/AssignmentPlanner.java
+++ b/src/main/java/carawayswitch/membership/AssignmentPlanner.java
@@ -62,9 +62,14 @@
 		return Option.of(new GuardAssignment(region, epoch, members));
 	}
 
+	private static boolean isLive(MembershipView view, GuardMember member) {
+		Member live = view.live().get(member.host());
+		return live != null && live.incarnation() == member.incarnation();
+	}
+
 	private static boolean majorityKept(MembershipView view, GuardAssignment current, Predicate<GuardMember> possible) {
 		List<GuardMember> remaining = current.members().stream().filter(possible).toList();
-		long live = remaining.stream().filter((member) -> view.live().containsKey(member.host())).count();
+		long live = remaining.stream().filter((member) -> isLive(view, member)).count();
 		return live * 2 > remaining.size() || remaining.isEmpty();
 	}
 
--- a/src/main/java/carawayswitch/membership/Membership.java
+++ b/src/main/java/carawayswitch/membership/Membership.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 
 import carawayswitch.guard.Reachability;
 import carawayswitch.message.GuardAssignment;
@@ -48,6 +49,8 @@
 
 	private long counter;
 
+	private long offset = -1;
+
 	private boolean leaving;
 
 	private int cursor;
@@ -75,8 +78,16 @@
 	 * @return this host
 	 */
 	public Member self() {
-		return new Member(this.host, this.incarnation, this.counter, this.zone, this.region, this.address,
-				this.leaving);
+		return new Member(this.host, this.incarnation, this.counter, this.zone, this.region, this.address, this.leaving,
+				this.offset);
+	}
+
+	/**
+	 * Records how much of the log this host has folded.
+	 * @param folded offset of the last folded record
+	 */
+	public void folded(long folded) {
+		this.offset = folded;
 	}
 
 	/**
@@ -108,7 +119,7 @@
 		});
 		byHost.values().forEach((member) -> {
 			if (!member.host().equals(this.host)) {
-				this.peers.putIfAbsent(member.host(), new PeerState(member, Long.MIN_VALUE / 2, -1, true, 0));
+				this.peers.putIfAbsent(member.host(), new PeerState(member, Long.MIN_VALUE / 2, true, 0));
 			}
 		});
 		Member own = byHost.get(this.host);
@@ -122,8 +133,7 @@
 	 */
 	public void onHeartbeat(Heartbeat heartbeat, long now) {
 		hear(heartbeat.self(), now);
-		this.peers.computeIfPresent(heartbeat.self().host(),
-				(id, state) -> state.withOffset(heartbeat.configurationOffset()).avoidedUntil(now));
+		this.peers.computeIfPresent(heartbeat.self().host(), (id, state) -> state.avoidedUntil(now));
 		heartbeat.members().forEach((member) -> hear(member, now));
 	}
 
@@ -133,7 +143,7 @@
 		}
 		PeerState known = this.peers.get(member.host());
 		if (known == null) {
-			this.peers.put(member.host(), new PeerState(member, now, -1, false, 0));
+			this.peers.put(member.host(), new PeerState(member, now, false, 0));
 			return;
 		}
 		Member current = known.member();
@@ -243,13 +253,13 @@
 
 	/**
 	 * Returns what the key guard needs to know.
-	 * @param assignment the assignment in force, or null
+	 * @param history kept assignments of the region, oldest first
+	 * @param assignmentOffset offset from which on a host knows the newest assignment
 	 * @param isolation silence in milliseconds after which a host counts as unreachable
-	 * @param ownOffset configuration offset of this host
 	 * @param now monotonic time in milliseconds
 	 * @return what is known of other hosts
 	 */
-	public Reachability reachability(GuardAssignment assignment, long isolation, long ownOffset, long now) {
+	public Reachability reachability(List<GuardAssignment> history, long assignmentOffset, long isolation, long now) {
 		Map<String, Long> incarnations = new HashMap<>();
 		this.peers.forEach((id, state) -> {
 			if (now - state.heardAt() <= isolation) {
@@ -257,20 +267,31 @@
 			}
 		});
 		incarnations.put(this.host, this.incarnation);
-		return new Reachability(Map.copyOf(incarnations), majority(assignment, incarnations, ownOffset));
+		if (history.isEmpty()) {
+			return new Reachability(Map.copyOf(incarnations), false, false);
+		}
+		GuardAssignment newest = history.get(history.size() - 1);
+		boolean majority = most(newest,
+				(member) -> Long.valueOf(member.incarnation()).equals(incarnations.get(member.host()))
+						&& offsetOf(member) <= this.offset);
+		boolean superseded = history.subList(0, history.size() - 1)
+			.stream()
+			.allMatch((older) -> most(older,
+					(member) -> offsetOf(member) >= assignmentOffset || !mayStillRun(member, now)));
+		return new Reachability(Map.copyOf(incarnations), majority, superseded);
 	}
 
-	private boolean majority(GuardAssignment assignment, Map<String, Long> incarnations, long ownOffset) {
-		if (assignment == null) {
-			return false;
-		}
-		int reachable = 0;
-		for (GuardMember member : assignment.members()) {
-			PeerState state = this.peers.get(member.host());
-			boolean ahead = state != null && state.offset() > ownOffset;
-			reachable += (incarnations.containsKey(member.host()) && !ahead) ? 1 : 0;
+	private long offsetOf(GuardMember member) {
+		if (member.host().equals(this.host) && member.incarnation() == this.incarnation) {
+			return this.offset;
 		}
-		return reachable * 2 > assignment.members().size();
+		PeerState state = this.peers.get(member.host());
+		boolean same = state != null && state.member().incarnation() == member.incarnation();
+		return same ? state.member().offset() : -1;
+	}
+
+	private static boolean most(GuardAssignment assignment, Predicate<GuardMember> condition) {
+		return assignment.members().stream().filter(condition).count() * 2 > assignment.members().size();
 	}
 
 }
--- a/src/main/java/carawayswitch/platform/HttpHostList.java
+++ b/src/main/java/carawayswitch/platform/HttpHostList.java
@@ -56,7 +56,7 @@
 		List<Member> members = new ArrayList<>();
 		for (JsonNode host : tree.get("hosts")) {
 			members.add(new Member(host.path("id").asText(), 0, 0, host.path("zone").asText(),
-					host.path("region").asText(), host.path("address").asText(), host.path("leaving").asBoolean()));
+					host.path("region").asText(), host.path("address").asText(), host.path("leaving").asBoolean(), -1));
 		}
 		return members;
 	}
--- /dev/null
+++ b/src/test/java/carawayswitch/guard/Faults.java
@@ -0,0 +1,28 @@
+package carawayswitch.guard;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * How often each fault strikes, in parts per thousand of steps or messages.
+ */
+record Faults(List<Kind> kinds, int perKindPermille, int lossPermille, int repeatPermille, int slowPermille) {
+
+	List<Kind> draw(SplittableRandom random) {
+		List<Kind> drawn = new ArrayList<>();
+		for (Kind kind : this.kinds) {
+			if (random.nextInt(1000) < this.perKindPermille) {
+				drawn.add(kind);
+			}
+		}
+		return drawn;
+	}
+
+	enum Kind {
+
+		PAUSE, CRASH, STOP, CUT, LOG_DOWN
+
+	}
+
+}
