Measure: the scheduler beside two baselines, with fake engines on a virtual clock

Change: the command 'carawayswitch measure' runs 13 workloads under first-in-first-out, strict tiers and the daemon's own scheduler classes, and checks eight bounds.

--- a/src/main/java/carawayswitch/cli/Main.java
+++ b/src/main/java/carawayswitch/cli/Main.java
@@ -14,7 +14,7 @@
 public final class Main {
 
 	static final List<Command> COMMANDS = List.of(new ServeCommand(), new CheckCommand(), new TryCommand(),
-			new StandInCommand(), new EntityCommand("tier"), new EntityCommand("profile"),
+			new StandInCommand(), new MeasureCommand(), new EntityCommand("tier"), new EntityCommand("profile"),
 			new EntityCommand("organisation"), new EntityCommand("service"), new EntityCommand("endpoint"),
 			new StatusCommand(), new AuditCommand());
 
--- /dev/null
+++ b/src/main/java/carawayswitch/cli/MeasureCommand.java
@@ -0,0 +1,56 @@
+package carawayswitch.cli;
+
+import java.io.PrintStream;
+import java.util.List;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+
+import carawayswitch.measure.MeasureRunner;
+
+/**
+ * Measures the scheduling decisions. Stateless.
+ */
+final class MeasureCommand implements Command {
+
+	@Override
+	public String name() {
+		return "measure";
+	}
+
+	@Override
+	public String synopsis() {
+		return "[--seed N] [--workload NAME] [--json]";
+	}
+
+	@Override
+	public String summary() {
+		return "Measures the scheduling decisions beside baselines and checks their bounds.";
+	}
+
+	@Override
+	public List<String> examples() {
+		return List.of("carawayswitch measure", "carawayswitch measure --workload overload --seed 7");
+	}
+
+	@Override
+	public Options options() {
+		return new Options().addOption(CommonOptions.value("seed", "N", "Seed of the random numbers. Default: 1."))
+			.addOption(CommonOptions.value("workload", "NAME", "Workload to measure. Default: all."))
+			.addOption(CommonOptions.flag("json", "Prints JSON in place of tables. Default: off."));
+	}
+
+	@Override
+	public ExitCode run(CommandLine line, PrintStream out) throws UsageException {
+		long seed = CommonOptions.number(line, "seed", 1, 0, Long.MAX_VALUE / 10);
+		List<String> workloads = MeasureRunner.workloads();
+		String given = line.getOptionValue("workload");
+		if (given != null && !workloads.contains(given)) {
+			throw new UsageException("--workload is \"" + given + "\"; valid: " + workloads);
+		}
+		MeasureRunner runner = MeasureRunner.run(seed, (given != null) ? List.of(given) : workloads);
+		out.print(line.hasOption("json") ? runner.json() : runner.text());
+		return runner.brokenBounds().isEmpty() ? ExitCode.OK : ExitCode.FAILED;
+	}
+
+}
--- a/src/main/java/carawayswitch/entry/CallerRequest.java
+++ b/src/main/java/carawayswitch/entry/CallerRequest.java
@@ -11,7 +11,6 @@
 import io.activej.reactor.nio.NioReactor;
 import io.github.resilience4j.core.IntervalFunction;
 
-import carawayswitch.config.PressurePolicy;
 import carawayswitch.dispatch.ReplySink;
 import carawayswitch.guard.GrantVerdict;
 import carawayswitch.log.LogEvent;
@@ -29,7 +28,7 @@
 import carawayswitch.outcome.Outcome;
 import carawayswitch.outcome.RequestLedger;
 import carawayswitch.schedule.EndpointChooser;
-import carawayswitch.schedule.EndpointView;
+import carawayswitch.schedule.EndpointSelection;
 import carawayswitch.schedule.LengthEstimate;
 import carawayswitch.schedule.Work;
 import carawayswitch.schedule.WorkFactory;
@@ -159,7 +158,8 @@
 			return;
 		}
 		MembershipView view = this.context.view();
-		EndpointChooser.Candidate chosen = EndpointChooser.choose(candidates(work), work, this.random, now);
+		EndpointChooser.Candidate chosen = EndpointSelection.select(candidates(), this.refusedBy, work, this.random,
+				now);
 		Member owner = (chosen != null) ? owner(view, chosen.view().id()) : null;
 		if (owner == null) {
 			finishUnrun(ErrorKind.NO_ENDPOINT, 0);
@@ -190,23 +190,13 @@
 		return null;
 	}
 
-	private List<EndpointChooser.Candidate> candidates(Work work) {
-		List<EndpointChooser.Candidate> all = new ArrayList<>();
-		List<EndpointChooser.Candidate> withLowerWork = new ArrayList<>();
+	private List<EndpointChooser.Candidate> candidates() {
+		List<EndpointChooser.Candidate> candidates = new ArrayList<>();
 		for (EntryIndex.NamedEndpoint named : this.context.index().endpoints(this.call.service())) {
-			EndpointView view = this.context.endpointView(named.id());
-			if (view.leaving() || this.refusedBy.contains(named.id())) {
-				continue;
-			}
 			boolean sameZone = named.endpoint().zone().equals(this.context.zone());
-			EndpointChooser.Candidate candidate = new EndpointChooser.Candidate(view, sameZone);
-			all.add(candidate);
-			if (view.lowerWorkPresent(work.urgency())) {
-				withLowerWork.add(candidate);
-			}
+			candidates.add(new EndpointChooser.Candidate(this.context.endpointView(named.id()), sameZone));
 		}
-		boolean retryOfProtected = work.pressure() == PressurePolicy.PROTECT && !this.refusedBy.isEmpty();
-		return (retryOfProtected && !withLowerWork.isEmpty()) ? withLowerWork : all;
+		return candidates;
 	}
 
 	private ForwardRequest forwardRequest(String endpoint, int number, long ownerIncarnation, long now) {
--- /dev/null
+++ b/src/main/java/carawayswitch/measure/RequestGenerator.java
@@ -0,0 +1,86 @@
+package carawayswitch.measure;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * Generates the requests of a workload. Each stream has a random generator of its own, so
+ * that leaving one stream out does not change the others. Stateless.
+ */
+final class RequestGenerator {
+
+	private static final int MAX_TOKENS = 4000;
+
+	private static final double MILLIS_PER_SECOND = 1000;
+
+	private RequestGenerator() {
+	}
+
+	static List<Request> generate(Workload workload, boolean withFloods, long seed) {
+		List<Request> requests = new ArrayList<>();
+		List<Stream> streams = workload.streams();
+		for (int i = 0; i < streams.size(); i++) {
+			if (withFloods || !streams.get(i).flood()) {
+				add(streams.get(i), i, workload.engines(), new SplittableRandom(seed * 31 + i), requests);
+			}
+		}
+		requests.sort(Comparator.comparingLong(Request::arrivalMillis).thenComparingInt(Request::id));
+		return requests;
+	}
+
+	private static void add(Stream stream, int index, List<EngineModel> engines, SplittableRandom random,
+			List<Request> requests) {
+		double perSecond = stream.share() * requestsPerSecond(stream.kind(), engines);
+		double at = stream.fromMillis();
+		int number = 0;
+		while (true) {
+			at += -Math.log(1 - random.nextDouble()) * MILLIS_PER_SECOND / perSecond;
+			if (at >= stream.toMillis()) {
+				return;
+			}
+			int id = index * 10_000_000 + number++;
+			requests.add(request(stream, id, (long) at, random));
+		}
+	}
+
+	static double requestsPerSecond(WorkKind kind, List<EngineModel> engines) {
+		double rate = 0;
+		for (EngineModel engine : engines) {
+			rate += MILLIS_PER_SECOND / engine.costMillis(kind.promptTokens(), kind.outputTokens());
+		}
+		return rate;
+	}
+
+	private static Request request(Stream stream, int id, long at, SplittableRandom random) {
+		WorkKind kind = stream.kind();
+		String organisation = kind.fleet() + "/" + organisation(stream, random);
+		int prompt = length(kind.promptTokens(), stream.lengthSpread(), random);
+		int output = length(kind.outputTokens(), stream.lengthSpread(), random);
+		long prefix = (kind.name() + organisation).hashCode() | 1L;
+		int prefixTokens = Math.min(prompt, kind.promptTokens() / 2);
+		return new Request(id, kind, organisation, prompt, output, prefix, prefixTokens, at, stream.flood());
+	}
+
+	private static String organisation(Stream stream, SplittableRandom random) {
+		if (stream.organisations() == 0) {
+			return "large";
+		}
+		double total = stream.largeFactor() + stream.organisations() - 1;
+		double drawn = random.nextDouble() * total;
+		int index = (drawn < stream.largeFactor()) ? 0 : 1 + (int) (drawn - stream.largeFactor());
+		return "org-" + Math.min(index, stream.organisations() - 1);
+	}
+
+	private static int length(int mean, double spread, SplittableRandom random) {
+		double value = mean * Math.exp(spread * gaussian(random) - spread * spread / 2);
+		return (int) Math.max(1, Math.min(MAX_TOKENS, Math.round(value)));
+	}
+
+	private static double gaussian(SplittableRandom random) {
+		double radius = Math.sqrt(-2 * Math.log(1 - random.nextDouble()));
+		return radius * Math.cos(2 * Math.PI * random.nextDouble());
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/measure/SchedulerFront.java
@@ -0,0 +1,81 @@
+package carawayswitch.measure;
+
+import java.util.List;
+
+import carawayswitch.config.Endpoint;
+import carawayswitch.message.EndpointDigest;
+import carawayswitch.schedule.EndpointScheduler;
+import carawayswitch.schedule.Offer;
+import carawayswitch.schedule.Work;
+
+/**
+ * The scheduler as the daemon uses it. Not safe for use by several threads.
+ */
+final class SchedulerFront implements EngineFront {
+
+	private static final EndpointScheduler.Bounds BOUNDS = new EndpointScheduler.Bounds(8L * 1024 * 1024, 30_000);
+
+	private final EndpointScheduler scheduler;
+
+	SchedulerFront(String id, EngineModel model) {
+		Endpoint endpoint = new Endpoint(List.of("measured/model"), "http://127.0.0.1:1", "zone", "region",
+				model.maxRunning(), model.kvTokens(), false, false);
+		this.scheduler = new EndpointScheduler(id, endpoint, true, BOUNDS);
+	}
+
+	@Override
+	public Offer offer(Work work, long now) {
+		return this.scheduler.offer(work, now);
+	}
+
+	@Override
+	public Work next(long now) {
+		return this.scheduler.next(now);
+	}
+
+	@Override
+	public List<Work> takeExpired(long now) {
+		return this.scheduler.takeExpired(now);
+	}
+
+	@Override
+	public Work victim(long now) {
+		return this.scheduler.victim(now);
+	}
+
+	@Override
+	public void preempted(Work work, long now) {
+		this.scheduler.preempted(work.id(), work, now);
+	}
+
+	@Override
+	public void progressed(String workId, int tokens, long now) {
+		this.scheduler.progressed(workId, tokens, now);
+	}
+
+	@Override
+	public void finished(String workId, long now) {
+		this.scheduler.finished(workId, now);
+	}
+
+	@Override
+	public boolean cancelQueued(String workId) {
+		return this.scheduler.cancelQueued(workId);
+	}
+
+	@Override
+	public void leaving() {
+		this.scheduler.leaving(true);
+	}
+
+	@Override
+	public List<Work> queued() {
+		return this.scheduler.queued();
+	}
+
+	@Override
+	public EndpointDigest digest(long now) {
+		return this.scheduler.digest(now);
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/measure/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measures the scheduling decisions under load, with fake engines on a virtual clock.
+ */
+package carawayswitch.measure;
