--- /dev/null
+++ b/src/main/java/carawayswitch/cli/SlopesCommand.java
@@ -0,0 +1,50 @@
+package carawayswitch.cli;
+
+import java.io.PrintStream;
+import java.util.List;
+
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Options;
+
+import carawayswitch.slopes.SlopesRunner;
+
+/**
+ * Measures the slopes of the capacity page. Stateless.
+ */
+final class SlopesCommand implements Command {
+
+	private static final int[] FLEETS = { 3, 6, 12, 24 };
+
+	@Override
+	public String name() {
+		return "slopes";
+	}
+
+	@Override
+	public String synopsis() {
+		return "[--millis N]";
+	}
+
+	@Override
+	public String summary() {
+		return "Measures what each part costs for each host, request, grant and record.";
+	}
+
+	@Override
+	public List<String> examples() {
+		return List.of("carawayswitch slopes --millis 10000");
+	}
+
+	@Override
+	public Options options() {
+		return new Options().addOption(CommonOptions.value("millis", "N",
+				"Time in milliseconds for which each fleet is measured. Default: 10000."));
+	}
+
+	@Override
+	public ExitCode run(CommandLine line, PrintStream out) throws Exception {
+		SlopesRunner.run(FLEETS, CommonOptions.number(line, "millis", 10_000, 500, 600_000), out);
+		return ExitCode.OK;
+	}
+
+}
--- a/src/main/java/carawayswitch/entry/EntryServlet.java
+++ b/src/main/java/carawayswitch/entry/EntryServlet.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.random.RandomGenerator;
 
+import io.activej.bytebuf.ByteBuf;
 import io.activej.http.AsyncServlet;
 import io.activej.http.HttpMethod;
 import io.activej.http.HttpRequest;
@@ -58,12 +59,19 @@
 		String requestId = TimedId.next();
 		this.inFlight.incrementAndGet();
 		return request.loadBody(this.context.settings().maxBodyBytes())
-			.then((body) -> serve(request, body.getArray(), requestId, now),
+			.then((body) -> serveBody(request, body, requestId, now),
 					(failure) -> Promise
 						.of(error(new RequestException(ErrorKind.BODY_TOO_LARGE, bodyLimit()), requestId)))
 			.whenComplete((response, failure) -> this.inFlight.decrementAndGet());
 	}
 
+	private Promise<HttpResponse> serveBody(HttpRequest request, ByteBuf body, String requestId, long now) {
+		if (body.readRemaining() > this.context.settings().maxBodyBytes()) {
+			return Promise.of(error(new RequestException(ErrorKind.BODY_TOO_LARGE, bodyLimit()), requestId));
+		}
+		return serve(request, body.getArray(), requestId, now);
+	}
+
 	private String bodyLimit() {
 		return "valid: up to " + this.context.settings().maxBodyBytes() + " bytes";
 	}
--- a/src/main/java/carawayswitch/host/CarawayHost.java
+++ b/src/main/java/carawayswitch/host/CarawayHost.java
@@ -564,6 +564,22 @@
 		return this.httpAddress;
 	}
 
+	/**
+	 * Returns the bytes sent to other hosts.
+	 * @return number of bytes
+	 */
+	public long sentBytes() {
+		return this.transport.traffic().sentBytes();
+	}
+
+	/**
+	 * Returns the frames exchanged with other hosts.
+	 * @return number of frames
+	 */
+	public long frames() {
+		return this.transport.traffic().frames();
+	}
+
 	/**
 	 * Returns the address for other hosts.
 	 * @return the bound address
--- a/src/main/java/carawayswitch/membership/Membership.java
+++ b/src/main/java/carawayswitch/membership/Membership.java
@@ -25,7 +25,7 @@
 public final class Membership {
 
 	/** Number of members that a heartbeat passes on. */
-	static final int PASSED_MEMBERS = 8;
+	static final int PASSED_MEMBERS = 4;
 
 	private static final long AVOID_MILLIS = 2000;
 
--- /dev/null
+++ b/src/main/java/carawayswitch/slopes/ControlSlope.java
@@ -0,0 +1,89 @@
+package carawayswitch.slopes;
+
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadInfo;
+import java.lang.management.ThreadMXBean;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import carawayswitch.host.CarawayHost;
+import carawayswitch.standin.TrialFleet;
+
+/**
+ * Costs of control for each host of an idle fleet, with the default intervals. Stateless.
+ */
+final class ControlSlope {
+
+	private static final Map<String, String> DEFAULTS = Map.of("platform.poll_interval", "500ms",
+			"membership.heartbeat_interval", "1s", "host.threads", "1");
+
+	private static final long SETTLE_MILLIS = 6000;
+
+	private static final double NANOS_PER_SECOND = 1e9;
+
+	private ControlSlope() {
+	}
+
+	static Figures measure(int hosts, long millis) throws IOException, InterruptedException {
+		long heapBefore = usedHeap();
+		TrialFleet fleet = TrialFleet.start(List.of("zone-0", "zone-1", "zone-2"), DEFAULTS);
+		for (int i = 0; i < hosts; i++) {
+			fleet.addHost(String.format("host-%03d", i), "zone-" + i % 3);
+		}
+		TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS);
+		long bytes = sentBytes(fleet);
+		long frames = frames(fleet);
+		long nanos = controlNanos();
+		long start = System.nanoTime();
+		TimeUnit.MILLISECONDS.sleep(millis);
+		double seconds = (System.nanoTime() - start) / NANOS_PER_SECOND;
+		double divisor = seconds * hosts;
+		double core = (controlNanos() - nanos) / NANOS_PER_SECOND / divisor * 100;
+		Figures figures = new Figures(hosts, (sentBytes(fleet) - bytes) / divisor, (frames(fleet) - frames) / divisor,
+				core, (usedHeap() - heapBefore) / hosts);
+		fleet.stop();
+		return figures;
+	}
+
+	private static long sentBytes(TrialFleet fleet) {
+		return fleet.hosts().values().stream().mapToLong(CarawayHost::sentBytes).sum();
+	}
+
+	private static long frames(TrialFleet fleet) {
+		return fleet.hosts().values().stream().mapToLong(CarawayHost::frames).sum();
+	}
+
+	private static long controlNanos() {
+		ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+		long nanos = 0;
+		for (ThreadInfo thread : threads.getThreadInfo(threads.getAllThreadIds())) {
+			if (thread != null && thread.getThreadName().endsWith("-control")) {
+				nanos += Math.max(0, threads.getThreadCpuTime(thread.getThreadId()));
+			}
+		}
+		return nanos;
+	}
+
+	static long usedHeap() {
+		System.gc();
+		Runtime runtime = Runtime.getRuntime();
+		return runtime.totalMemory() - runtime.freeMemory();
+	}
+
+	/**
+	 * Figures of one fleet. Immutable.
+	 *
+	 * @param hosts number of hosts
+	 * @param sentBytesPerSecond bytes that a host sends to others in a second
+	 * @param framesPerSecond frames that a host sends and receives in a second
+	 * @param corePercent share of a core that the control thread of a host uses, in
+	 * percent
+	 * @param heapBytes heap for each host in bytes
+	 */
+	record Figures(int hosts, double sentBytesPerSecond, double framesPerSecond, double corePercent, long heapBytes) {
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/slopes/SlopesRunner.java
@@ -0,0 +1,43 @@
+package carawayswitch.slopes;
+
+import java.io.PrintStream;
+import java.util.Locale;
+
+/**
+ * Measures all slopes and prints them. Stateless.
+ *
+ * <pre>
+ * SlopesRunner.run(new int[] { 3, 6, 12, 24 }, 10_000, System.out);
+ * </pre>
+ */
+public final class SlopesRunner {
+
+	private SlopesRunner() {
+	}
+
+	/**
+	 * Measures all slopes.
+	 * @param fleets numbers of hosts of the measured fleets
+	 * @param millis time in milliseconds for which each fleet is measured
+	 * @param out receives the figures
+	 * @throws Exception if a fleet cannot be started
+	 */
+	public static void run(int[] fleets, long millis, PrintStream out) throws Exception {
+		out.println("state");
+		StateSlope.measure()
+			.forEach((name, value) -> out.println(String.format(Locale.ROOT, "  %-56s %12.2f", name, value)));
+		out.println("path                 connections  median us     p99 us   requests/s");
+		for (PathSlope.Figures figures : PathSlope.measure()) {
+			out.println(String.format(Locale.ROOT, "  %-18s %11d %10d %10d %12.0f", figures.name(),
+					figures.connections(), figures.medianMicros(), figures.p99Micros(), figures.perSecond()));
+		}
+		out.println("control, for each host   hosts  sent bytes/s   frames/s   core %    heap bytes");
+		for (int hosts : fleets) {
+			ControlSlope.Figures figures = ControlSlope.measure(hosts, millis);
+			out.println(String.format(Locale.ROOT, "  %28d %13.0f %10.1f %8.2f %13d", figures.hosts(),
+					figures.sentBytesPerSecond(), figures.framesPerSecond(), figures.corePercent(),
+					figures.heapBytes()));
+		}
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/slopes/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measures what each part costs for each host, request, grant and record.
+ */
+package carawayswitch.slopes;
--- /dev/null
+++ b/src/test/java/carawayswitch/config/ConfigurationStateTests.java
@@ -0,0 +1,72 @@
+package carawayswitch.config;
+
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import carawayswitch.message.ConfigurationChange;
+import carawayswitch.message.MessageCodec;
+import carawayswitch.outcome.ErrorKind;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests the fold over the log and the names of both fleets.
+ */
+class ConfigurationStateTests {
+
+	private static byte[] change(String id, long base, String body) {
+		return MessageCodec.encode(new ConfigurationChange(id, "a", 0, "tier", "sabarmati/urgent", base, false, body));
+	}
+
+	@Test
+	void staleChangeIsRefusedAndRepeatedChangeIsIgnored() {
+		ConfigurationState state = ConfigurationState.EMPTY.fold(0, change("c1", 0, "{\"urgency\":4}"))
+			.fold(1, change("c2", 0, "{\"urgency\":3}"))
+			.fold(2, change("c1", 0, "{\"urgency\":1}"));
+		assertThat(state.find(Tier.class, EntityKind.TIER, "sabarmati/urgent").get().urgency()).isEqualTo(4);
+		assertThat(state.verdict("c1").get().kind()).isEqualTo(ChangeVerdict.Kind.ACCEPTED);
+		assertThat(state.verdict("c2").get().kind()).isEqualTo(ChangeVerdict.Kind.CONFLICT);
+	}
+
+	@Test
+	void malformedAndUnknownRecordsOnlyAdvanceTheOffset() {
+		byte[] whole = change("c1", 0, "{\"urgency\":4}");
+		ConfigurationState state = ConfigurationState.EMPTY;
+		for (int length = 0; length < whole.length; length++) {
+			state = state.fold(length, java.util.Arrays.copyOf(whole, length));
+		}
+		assertThat(state.offset()).isEqualTo(whole.length - 1);
+		assertThat(state.all(Tier.class, EntityKind.TIER)).isEmpty();
+		state = state.fold(whole.length, whole);
+		assertThat(state.all(Tier.class, EntityKind.TIER)).hasSize(1);
+	}
+
+	@Test
+	void offsetNeverDecreasesAndSnapshotRestoresTheSameState() {
+		ConfigurationState state = ConfigurationState.EMPTY.fold(0, change("c1", 0, "{\"urgency\":4}"))
+			.fold(1, change("c2", 9, "{\"urgency\":3}"));
+		assertThat(state.fold(1, change("c3", 1, "{\"urgency\":0}"))).isSameAs(state);
+		assertThat(ConfigurationState.restore(state.snapshot())).isEqualTo(state);
+	}
+
+	@ParameterizedTest
+	@CsvSource(delimiter = '|', value = { "summary|sabarmati|sabarmati/summary", "summary|mwangaza|mwangaza/summary",
+			"mwangaza/summary|sabarmati|mwangaza/summary", "tag||sabarmati/tag" })
+	void nameResolvesInItsOwnFleet(String name, String fleet, String expected) {
+		List<String> known = List.of("sabarmati/summary", "mwangaza/summary", "sabarmati/tag");
+		assertThat(Names.resolve(name, (fleet != null) ? fleet : "", known, ErrorKind.NOT_FOUND).get())
+			.isEqualTo(expected);
+	}
+
+	@Test
+	void ambiguousNameListsItsCandidates() {
+		List<String> known = List.of("sabarmati/summary", "mwangaza/summary");
+		Names.Unresolved error = Names.resolve("summary", "", known, ErrorKind.NOT_FOUND).getLeft();
+		assertThat(error.kind()).isEqualTo(ErrorKind.AMBIGUOUS_NAME);
+		assertThat(error.message()).contains("sabarmati/summary", "mwangaza/summary");
+	}
+
+}
--- /dev/null
+++ b/src/test/java/carawayswitch/message/MessageCodecTests.java
@@ -0,0 +1,33 @@
+package carawayswitch.message;
+
+import org.junit.jupiter.api.Test;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests that hosts of two versions understand each other.
+ */
+class MessageCodecTests {
+
+	@Test
+	void unknownTagIsSkippedAndMissingTagIsEmpty() throws Exception {
+		MessageBufferPacker packer = MessagePack.newDefaultBufferPacker();
+		packer.packArrayHeader(2).packInt(14).packMapHeader(2);
+		packer.packInt(99).packArrayHeader(1).packString("newer");
+		packer.packInt(1).packString("request");
+		CancelRequest read = MessageCodec.decode(CancelRequest.class, packer.toByteArray()).get();
+		assertThat(read).isEqualTo(new CancelRequest("request", 0, 0, ""));
+	}
+
+	@Test
+	void unknownMessageIsNothingAndTruncatedMessageIsAFailure() throws Exception {
+		MessageBufferPacker packer = MessagePack.newDefaultBufferPacker();
+		packer.packArrayHeader(2).packInt(9999).packMapHeader(0);
+		assertThat(MessageCodec.decode(packer.toByteArray()).get()).isEmpty();
+		byte[] bytes = MessageCodec.encode(new Ping(7));
+		assertThat(MessageCodec.decode(java.util.Arrays.copyOf(bytes, bytes.length - 1)).isFailure()).isTrue();
+	}
+
+}
--- /dev/null
+++ b/src/test/java/carawayswitch/settings/SettingsFileTests.java
@@ -0,0 +1,45 @@
+package carawayswitch.settings;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests the checks of the settings file.
+ */
+class SettingsFileTests {
+
+	private static String example() throws Exception {
+		return Files.readString(Path.of("docs/example.ini"));
+	}
+
+	@Test
+	void exampleFileHasNoErrors() throws Exception {
+		assertThat(SettingsFile.parse("example.ini", example()).get().host().id()).isEqualTo("host-a1");
+	}
+
+	@ParameterizedTest
+	@CsvSource(delimiter = '|',
+			value = { "id = host-a1|id =|[host] id", "listen = 127.0.0.1:8080|listen = here|[http] listen",
+					"#lease = 3s|lease = 3|[guard] lease", "#lease = 3s|lease = 1ms|[guard] lease",
+					"#threads = 2|threads = 0|[host] threads", "#threads = 2|thread = 2|[host] thread",
+					"[retry]|[retries]|[retries]", "secret = change-me-change-me|secret = short|[internal] secret" })
+	void errorNamesFileSectionKeyAndValidValues(String good, String bad, String place) throws Exception {
+		List<SettingsError> errors = SettingsFile
+			.parse("h.ini", example().replace(good, bad).replace("#max_attempts", "max_attempts"))
+			.getLeft();
+		assertThat(errors.toString()).contains("h.ini: " + place, "valid: ").doesNotContain("short\"");
+	}
+
+	@Test
+	void allErrorsAreReportedAtOnce() {
+		assertThat(SettingsFile.parse("h.ini", "[host]\nid = a\n").getLeft().size()).isGreaterThan(5);
+	}
+
+}
