--- /dev/null
+++ b/src/test/java/carawayswitch/cli/DocumentationTests.java
@@ -0,0 +1,81 @@
+package carawayswitch.cli;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import carawayswitch.log.LogEvent;
+import carawayswitch.metrics.Metric;
+import carawayswitch.outcome.ErrorKind;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests that the pages name every command, error kind, metric and event, and no unknown
+ * ones.
+ */
+class DocumentationTests {
+
+	private static String page(String name) throws IOException {
+		return Files.readString(Path.of("docs/operations", name));
+	}
+
+	@Test
+	void everyErrorKindIsOnItsPageAndNoOther() throws IOException {
+		List<String> labels = Arrays.stream(ErrorKind.values()).map(ErrorKind::label).toList();
+		assertThat(firstCells(page("errors.md"))).containsExactlyInAnyOrderElementsOf(labels);
+	}
+
+	@Test
+	void everyMetricAndEventIsOnItsPageAndNoOther() throws IOException {
+		List<String> names = new ArrayList<>();
+		Arrays.stream(Metric.values()).map(Metric::label).forEach(names::add);
+		Arrays.stream(LogEvent.values()).map(LogEvent::label).forEach(names::add);
+		assertThat(firstCells(page("metrics.md"))).containsExactlyInAnyOrderElementsOf(names);
+	}
+
+	private static List<String> firstCells(String page) {
+		List<String> cells = new ArrayList<>();
+		Matcher rows = Pattern.compile("(?m)^\\| `([^`]+)` \\|").matcher(page);
+		while (rows.find()) {
+			cells.add(rows.group(1));
+		}
+		return cells;
+	}
+
+	static Stream<Command> commands() {
+		return Main.COMMANDS.stream();
+	}
+
+	@ParameterizedTest
+	@MethodSource("commands")
+	void helpOfEveryCommandHasSynopsisOptionsExamplesAndExitStatus(Command command) {
+		String page = Help.page(command);
+		assertThat(page).startsWith("SYNOPSIS\n    carawayswitch " + command.name());
+		assertThat(page).contains("DESCRIPTION", "OPTIONS", "EXAMPLES", "EXIT STATUS", command.examples().get(0));
+	}
+
+	@Test
+	void commandsInThePagesExist() throws IOException {
+		List<String> names = Main.COMMANDS.stream().map(Command::name).toList();
+		try (Stream<Path> files = Files.walk(Path.of("docs"))) {
+			for (Path file : files.filter((path) -> path.toString().endsWith(".md")).toList()) {
+				Matcher uses = Pattern.compile("(?:`|target/)carawayswitch ([a-z-]+)").matcher(Files.readString(file));
+				while (uses.find()) {
+					assertThat(names).as(file.toString()).contains(uses.group(1));
+				}
+			}
+		}
+	}
+
+}
