Scheduler: engines start at their concurrency; long protected work is tried

Change: the limit starts at the engine's concurrency; margins of 1.7 and 1.4 service times; protected work counts as needing at most 0.8 of its own time.

--- a/src/main/java/carawayswitch/schedule/ConcurrencyLimit.java
+++ b/src/main/java/carawayswitch/schedule/ConcurrencyLimit.java
@@ -36,7 +36,7 @@
 
 	ConcurrencyLimit(int maximum) {
 		this.maximum = maximum;
-		this.limit = Math.max(1, Math.min(maximum, Math.max(MINIMUM, maximum / 2)));
+		this.limit = maximum;
 	}
 
 	void onTokenInterval(double millis) {
--- a/src/main/java/carawayswitch/schedule/EndpointScheduler.java
+++ b/src/main/java/carawayswitch/schedule/EndpointScheduler.java
@@ -51,10 +51,13 @@
 	static final int FULL_LIMIT_URGENCY = 3;
 
 	/** Service times that must fit before the deadline when work arrives. */
-	static final double ADMISSION_MARGIN = 2;
+	static final double ADMISSION_MARGIN = 1.7;
 
 	/** Service times that must fit before the deadline when work is dispatched. */
-	static final double DISPATCH_MARGIN = 1.5;
+	static final double DISPATCH_MARGIN = 1.4;
+
+	/** Share of its time that protected work must have left at most. */
+	static final double PROTECTED_SHARE = 0.8;
 
 	private static final double LOWER_LIMIT_SHARE = 0.85;
 
@@ -120,7 +123,7 @@
 			return Offer.refused(ErrorKind.NO_ENDPOINT, 0);
 		}
 		double wait = waitMillis(work);
-		boolean late = now + wait + serviceMillis(work) * ADMISSION_MARGIN > work.deadlineMillis();
+		boolean late = now + wait + neededMillis(work, ADMISSION_MARGIN) > work.deadlineMillis();
 		boolean refused = late || wait > this.bounds.maxWaitMillis();
 		if (refused && mayShed(work)) {
 			return Offer.refused(late ? ErrorKind.DEADLINE_CANNOT_BE_MET : ErrorKind.OVERLOADED, (long) wait);
@@ -254,7 +257,21 @@
 	}
 
 	private boolean hopeless(Work work, long now) {
-		return now + serviceMillis(work) * DISPATCH_MARGIN > work.deadlineMillis();
+		return now + neededMillis(work, DISPATCH_MARGIN) > work.deadlineMillis();
+	}
+
+	/**
+	 * Returns the time that must be left for work. Protected work is given a try while
+	 * enough of its own time is left, however long its answer may be.
+	 * @param work the work
+	 * @param margin number of service times
+	 * @return time in milliseconds
+	 */
+	private double neededMillis(Work work, double margin) {
+		double needed = serviceMillis(work) * margin;
+		boolean protectedWork = work.pressure() == PressurePolicy.PROTECT;
+		double most = (work.deadlineMillis() - work.arrivalMillis()) * PROTECTED_SHARE;
+		return protectedWork ? Math.min(needed, most) : needed;
 	}
 
 	private boolean fitsKv(Work work) {
