Frozen hosts and silent engines are tested; slots are placed with one hash a host

Change: each host's id is hashed once. A first form of the test of a frozen host asked for an answered booking while it was frozen; the trace shows that the frozen host may own the ledger's queue, where 'unknown' is the truth. It now asks for one after the thaw.

--- a/src/main/java/carawayswitch/guard/SlotMap.java
+++ b/src/main/java/carawayswitch/guard/SlotMap.java
@@ -1,5 +1,6 @@
 package carawayswitch.guard;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -35,14 +36,18 @@
 	 * @return the placement
 	 */
 	public static SlotMap of(GuardAssignment assignment) {
+		List<Ranked> members = new ArrayList<>();
+		for (GuardMember member : assignment.members()) {
+			members.add(new Ranked(member, hash(member.host())));
+		}
 		List<List<GuardMember>> candidates = new ArrayList<>(SLOTS);
 		for (int slot = 0; slot < SLOTS; slot++) {
-			candidates.add(order(slot, assignment.members()));
+			candidates.add(order(slot, members));
 		}
 		return new SlotMap(assignment.epoch(), candidates);
 	}
 
-	private static List<GuardMember> order(int slot, List<GuardMember> members) {
+	private static List<GuardMember> order(int slot, List<Ranked> members) {
 		List<GuardMember> chosen = new ArrayList<>(CANDIDATES);
 		GuardMember owner = best(slot, members, chosen, "");
 		chosen.add(owner);
@@ -56,15 +61,15 @@
 		return List.copyOf(chosen);
 	}
 
-	private static GuardMember best(int slot, List<GuardMember> members, List<GuardMember> taken, String avoidedZone) {
+	private static GuardMember best(int slot, List<Ranked> members, List<GuardMember> taken, String avoidedZone) {
 		GuardMember best = null;
-		long bestScore = 0;
-		for (GuardMember member : members) {
-			if (taken.contains(member) || member.zone().equals(avoidedZone)) {
-				continue;
-			}
-			long score = score(slot, member.host());
-			if (best == null || score > bestScore || score == bestScore && member.host().compareTo(best.host()) < 0) {
+		int bestScore = 0;
+		for (Ranked ranked : members) {
+			GuardMember member = ranked.member();
+			int score = MurmurHash3.hash32(ranked.hash(), slot);
+			boolean better = best == null || score > bestScore
+					|| score == bestScore && member.host().compareTo(best.host()) < 0;
+			if (better && !member.zone().equals(avoidedZone) && !taken.contains(member)) {
 				best = member;
 				bestScore = score;
 			}
@@ -72,9 +77,8 @@
 		return best;
 	}
 
-	private static long score(int slot, String host) {
-		byte[] bytes = (slot + ":" + host).getBytes(java.nio.charset.StandardCharsets.UTF_8);
-		return MurmurHash3.hash128x64(bytes)[0];
+	private static long hash(String text) {
+		return MurmurHash3.hash128x64(text.getBytes(StandardCharsets.UTF_8))[0];
 	}
 
 	/**
@@ -83,8 +87,7 @@
 	 * @return the number of the slot
 	 */
 	public static int slotOf(String key) {
-		byte[] bytes = key.getBytes(java.nio.charset.StandardCharsets.UTF_8);
-		return Math.floorMod(MurmurHash3.hash128x64(bytes)[0], SLOTS);
+		return Math.floorMod(hash(key), SLOTS);
 	}
 
 	/**
@@ -117,4 +120,14 @@
 		return owner(slot).equals(other.owner(slot)) && java.util.Objects.equals(guardian(slot), other.guardian(slot));
 	}
 
+	/**
+	 * A member with the hash of its id. Immutable.
+	 *
+	 * @param member the member
+	 * @param hash hash of its id
+	 */
+	private record Ranked(GuardMember member, long hash) {
+
+	}
+
 }
--- a/src/main/java/carawayswitch/host/CarawayHost.java
+++ b/src/main/java/carawayswitch/host/CarawayHost.java
@@ -668,6 +668,15 @@
 		});
 	}
 
+	/**
+	 * Stops all threads of the host for a while, as a paused process would.
+	 * @param time how long
+	 * @return completes when the threads go on
+	 */
+	CompletableFuture<Void> freeze(Duration time) {
+		return this.loops.freeze(time);
+	}
+
 	/**
 	 * Ends the host at once, as a crash would: nothing is handed over or finished.
 	 */
--- a/src/main/java/carawayswitch/host/Loops.java
+++ b/src/main/java/carawayswitch/host/Loops.java
@@ -1,7 +1,9 @@
 package carawayswitch.host;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 
 import io.activej.eventloop.Eventloop;
 
@@ -59,6 +61,13 @@
 		}
 	}
 
+	CompletableFuture<Void> freeze(Duration time) {
+		List<CompletableFuture<Void>> sleeping = new ArrayList<>();
+		sleeping.add(this.control.submit(() -> Thread.sleep(time.toMillis())));
+		this.endpointLoops.forEach((loop) -> sleeping.add(loop.reactor().submit(() -> Thread.sleep(time.toMillis()))));
+		return CompletableFuture.allOf(sleeping.toArray(CompletableFuture[]::new));
+	}
+
 	void kill() {
 		closeChannels(this.control);
 		this.endpointLoops.forEach((loop) -> closeChannels((Eventloop) loop.reactor()));
--- a/src/test/java/carawayswitch/host/FailureTests.java
+++ b/src/test/java/carawayswitch/host/FailureTests.java
@@ -1,6 +1,7 @@
 package carawayswitch.host;
 
 import java.net.http.HttpResponse;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -11,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import carawayswitch.outcome.TimedId;
 import carawayswitch.standin.EngineStandIn;
@@ -90,6 +92,41 @@
 		FleetClient.await(() -> this.client.book("host-4", TimedId.next()).join().statusCode() == 200);
 	}
 
+	@ParameterizedTest
+	@ValueSource(strings = { "host-1", "host-2", "host-3", "host-4" })
+	void hostThatIsFrozenBeyondItsLeaseGrantsNoKeyTwice(String frozen) {
+		List<String> keys = new ArrayList<>();
+		List<CompletableFuture<HttpResponse<String>>> responses = new ArrayList<>();
+		List<String> others = new ArrayList<>(this.fleet.hosts().keySet());
+		others.remove(frozen);
+		CompletableFuture<Void> thawed = this.fleet.hosts().get(frozen).freeze(Duration.ofMillis(2500));
+		for (int i = 0; i < 120; i++) {
+			String key = (i % 3 == 0) ? TimedId.next() : keys.get(keys.size() - 1);
+			keys.add(key);
+			responses.add(this.client.book(others.get(i % 3), key));
+			responses.add(this.client.book(frozen, key));
+		}
+		thawed.join();
+		for (CompletableFuture<HttpResponse<String>> response : responses) {
+			assertThat(FleetClient.outcome(response.join())).as(response.join().body()).isIn("answered", "unknown");
+		}
+		assertThat(keys).allMatch((key) -> this.fleet.ledger().runs(key) <= 1);
+		FleetClient.await(() -> this.client.book(frozen, TimedId.next()).join().statusCode() == 200);
+	}
+
+	@Test
+	void engineThatFallsSilentIsGivenUpAndIdempotentWorkRunsElsewhere() {
+		this.fleet.fastEngine().stall(true);
+		List<CompletableFuture<HttpResponse<String>>> responses = new ArrayList<>();
+		for (int i = 0; i < 6; i++) {
+			responses.add(this.client.complete("host-" + (1 + i % 4), "summary", 5, false));
+		}
+		for (CompletableFuture<HttpResponse<String>> response : responses) {
+			assertThat(response.join().statusCode()).as(response.join().body()).isEqualTo(200);
+			assertThat(response.join().headers().firstValue("X-Endpoint")).hasValue("shared/engine-slow");
+		}
+	}
+
 	@Test
 	void keyOfDeadEntryHostIsReportedAsUnknown() {
 		String key = TimedId.next();
