Connections are probed only while an answer is awaited; a silent one has a test

Change: probes go only where an answer is awaited or the connection was used lately; an idle close loses nothing. A relay that goes silent on one connection while new ones work shows that the old one is replaced.

--- a/src/main/java/carawayswitch/dispatch/Forwarder.java
+++ b/src/main/java/carawayswitch/dispatch/Forwarder.java
@@ -1,9 +1,11 @@
 package carawayswitch.dispatch;
 
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 
 import io.activej.reactor.Reactor;
 
@@ -210,6 +212,14 @@
 		}
 	}
 
+	/**
+	 * Returns the hosts that hold attempts without an end.
+	 * @return ids of the hosts
+	 */
+	public Set<String> awaitedPeers() {
+		return this.pending.values().stream().map((entry) -> entry.owner.host()).collect(Collectors.toSet());
+	}
+
 	/**
 	 * Returns the number of attempts without an end.
 	 * @return number of attempts
--- a/src/main/java/carawayswitch/host/CarawayHost.java
+++ b/src/main/java/carawayswitch/host/CarawayHost.java
@@ -467,6 +467,11 @@
 		return member != null && member.leaving();
 	}
 
+	@Override
+	public Set<String> awaitedPeers() {
+		return this.forwarder.awaitedPeers();
+	}
+
 	@Override
 	public void onPeerLost(String peer) {
 		this.forwarder.onPeerLost(peer);
--- a/src/main/java/carawayswitch/transport/IncomingLink.java
+++ b/src/main/java/carawayswitch/transport/IncomingLink.java
@@ -108,9 +108,10 @@
 		this.socket.write(frame).whenException((failure) -> close(failure.getMessage()));
 	}
 
-	void probe(long now, long silenceMillis) {
-		if (now - this.heardAt > silenceMillis) {
-			close("silent for " + silenceMillis + " ms");
+	void probe(long now, long silenceMillis, long idleMillis) {
+		long limit = this.verified ? idleMillis : silenceMillis;
+		if (now - this.heardAt > limit) {
+			close("silent for " + limit + " ms");
 		}
 	}
 
--- a/src/main/java/carawayswitch/transport/OutgoingLink.java
+++ b/src/main/java/carawayswitch/transport/OutgoingLink.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Consumer;
 
 import io.activej.bytebuf.ByteBuf;
 import io.activej.bytebuf.ByteBufs;
@@ -29,6 +30,9 @@
 
 	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(1000);
 
+	/** Reason of a close that loses nothing. */
+	static final String IDLE = "idle";
+
 	private static final long MAX_BUFFERED_BYTES = 64L * 1024 * 1024;
 
 	private final NioReactor reactor;
@@ -37,7 +41,7 @@
 
 	private final String peer;
 
-	private final Runnable onClosed;
+	private final Consumer<Boolean> onClosed;
 
 	private final List<Pending> pending = new ArrayList<>();
 
@@ -57,7 +61,8 @@
 
 	private boolean handedOver;
 
-	private long heardAt;
+	/** Time of the first probe since the other host was heard of, or 0. */
+	private long unansweredSince;
 
 	private long usedAt;
 
@@ -65,7 +70,8 @@
 
 	private long peerIncarnation;
 
-	OutgoingLink(NioReactor reactor, PeerIdentity identity, String peer, TrafficCounter traffic, Runnable onClosed) {
+	OutgoingLink(NioReactor reactor, PeerIdentity identity, String peer, TrafficCounter traffic,
+			Consumer<Boolean> onClosed) {
 		this.reactor = reactor;
 		this.identity = identity;
 		this.peer = peer;
@@ -74,7 +80,7 @@
 	}
 
 	void connect(InetSocketAddress address, long now) {
-		this.heardAt = now;
+		this.unansweredSince = now;
 		this.usedAt = now;
 		TcpSocket.connect(this.reactor, address, CONNECT_TIMEOUT, SocketSettings.create())
 			.subscribe((connected, failure) -> {
@@ -102,7 +108,7 @@
 	}
 
 	private void onFrame(ByteBuf frame) {
-		this.heardAt = this.reactor.currentTimeMillis();
+		this.unansweredSince = 0;
 		this.traffic.received(frame.readRemaining());
 		Message message = MessageCodec.decode(frame.asArray()).toOption().flatMap((decoded) -> decoded).getOrNull();
 		if (message instanceof Hello hello) {
@@ -169,14 +175,25 @@
 		});
 	}
 
-	void probe(long now, long silenceMillis, long idleMillis) {
-		if (now - this.heardAt > silenceMillis) {
+	/**
+	 * Probes the connection while something is expected of the other host, and closes it
+	 * when it has been silent or idle for too long.
+	 * @param now time in milliseconds
+	 * @param silenceMillis silence in milliseconds after which a probed connection is
+	 * closed
+	 * @param idleMillis time without use in milliseconds after which it is closed
+	 * @param awaited true if an answer of the other host is awaited
+	 */
+	void probe(long now, long silenceMillis, long idleMillis, boolean awaited) {
+		boolean silent = this.unansweredSince > 0 && now - this.unansweredSince > silenceMillis;
+		if (silent) {
 			close("no answer for " + silenceMillis + " ms");
 		}
-		else if (this.ready && now - this.usedAt > idleMillis) {
-			close("idle");
+		else if (this.ready && !awaited && now - this.usedAt > idleMillis) {
+			close(IDLE);
 		}
-		else if (this.ready) {
+		else if (this.ready && (awaited || now - this.usedAt <= silenceMillis)) {
+			this.unansweredSince = (this.unansweredSince > 0) ? this.unansweredSince : now;
 			write(Frames.encode(new Ping(this.sequence++)));
 		}
 	}
@@ -190,15 +207,20 @@
 			this.socket.close();
 		}
 		this.buffered.recycle();
-		if (this.handedOver && !"idle".equals(reason)) {
+		boolean lost = !IDLE.equals(reason);
+		if (this.handedOver && lost) {
 			LogEvent.PEER_LOST.log("peer", this.peer, "reason", reason);
 		}
-		this.onClosed.run();
+		this.onClosed.accept(lost);
 		List<Pending> unsent = List.copyOf(this.pending);
 		this.pending.clear();
 		unsent.forEach((entry) -> entry.onUnsent().run());
 	}
 
+	String peer() {
+		return this.peer;
+	}
+
 	long peerIncarnation() {
 		return this.ready ? this.peerIncarnation : 0;
 	}
--- a/src/main/java/carawayswitch/transport/PeerHandler.java
+++ b/src/main/java/carawayswitch/transport/PeerHandler.java
@@ -1,5 +1,7 @@
 package carawayswitch.transport;
 
+import java.util.Set;
+
 import carawayswitch.message.Message;
 
 /**
@@ -15,6 +17,12 @@
 	 */
 	void onMessage(String peer, long incarnation, Message message);
 
+	/**
+	 * Returns the hosts whose answers are awaited. Connections to them are probed.
+	 * @return ids of the hosts
+	 */
+	Set<String> awaitedPeers();
+
 	/**
 	 * Handles the loss of the connection to a host. Messages that were sent before may or
 	 * may not have arrived.
--- a/src/main/java/carawayswitch/transport/PeerTransport.java
+++ b/src/main/java/carawayswitch/transport/PeerTransport.java
@@ -96,11 +96,12 @@
 
 	private void probe() {
 		long now = this.reactor.currentTimeMillis();
+		Set<String> awaited = this.handler.awaitedPeers();
 		for (OutgoingLink link : List.copyOf(this.outgoing.values())) {
-			link.probe(now, this.times.silenceMillis(), IDLE_MILLIS);
+			link.probe(now, this.times.silenceMillis(), IDLE_MILLIS, awaited.contains(link.peer()));
 		}
 		for (IncomingLink link : List.copyOf(this.incoming)) {
-			link.probe(now, this.times.silenceMillis());
+			link.probe(now, this.times.silenceMillis(), IDLE_MILLIS + this.times.silenceMillis());
 		}
 	}
 
@@ -149,9 +150,11 @@
 			return null;
 		}
 		OutgoingLink[] holder = new OutgoingLink[1];
-		OutgoingLink link = new OutgoingLink(this.reactor, this.identity, peer, this.traffic, () -> {
+		OutgoingLink link = new OutgoingLink(this.reactor, this.identity, peer, this.traffic, (lost) -> {
 			this.outgoing.remove(peer, holder[0]);
-			this.handler.onPeerLost(peer);
+			if (lost) {
+				this.handler.onPeerLost(peer);
+			}
 		});
 		holder[0] = link;
 		this.outgoing.put(peer, link);
@@ -185,7 +188,7 @@
 	 */
 	public Promise<?> stop() {
 		this.stopped = true;
-		List.copyOf(this.outgoing.values()).forEach((link) -> link.close("idle"));
+		List.copyOf(this.outgoing.values()).forEach((link) -> link.close(OutgoingLink.IDLE));
 		List.copyOf(this.incoming).forEach((link) -> link.close("stopped"));
 		return (this.server != null) ? this.server.close() : Promise.complete();
 	}
--- /dev/null
+++ b/src/test/java/carawayswitch/transport/SilentConnectionTests.java
@@ -0,0 +1,153 @@
+package carawayswitch.transport;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import io.activej.common.function.RunnableEx;
+import io.activej.eventloop.Eventloop;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import carawayswitch.message.Message;
+import carawayswitch.message.RecordsRequest;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests that a connection that falls silent without closing is found and replaced.
+ */
+class SilentConnectionTests {
+
+	private static final PeerTransport.Times TIMES = new PeerTransport.Times(50, 300);
+
+	private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
+
+	private final Eventloop loop = Eventloop.create();
+
+	private ServerSocket relay;
+
+	private volatile int silentConnections;
+
+	private int port;
+
+	@BeforeEach
+	void startRelay() throws IOException {
+		this.loop.keepAlive(true);
+		Thread thread = new Thread(this.loop);
+		thread.setDaemon(true);
+		thread.start();
+		this.relay = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+		this.port = transport("b", "").submit();
+		daemon(this::relayConnections);
+	}
+
+	@AfterEach
+	void stopRelay() throws IOException {
+		this.relay.close();
+		this.loop.keepAlive(false);
+		this.loop.execute(this.loop::breakEventloop);
+	}
+
+	@Test
+	void silentConnectionIsReplacedWhileAnAnswerIsAwaited() throws Exception {
+		PeerTransport sender = transport("a", "127.0.0.1:" + this.relay.getLocalPort()).transport();
+		transportListen(sender);
+		sender.send("b", new RecordsRequest(1));
+		assertThat(this.events.poll(10, TimeUnit.SECONDS)).isEqualTo("b received 1 from a");
+		this.silentConnections = 1;
+		sender.send("b", new RecordsRequest(2));
+		assertThat(this.events.poll(10, TimeUnit.SECONDS)).isEqualTo("a lost b");
+		sender.send("b", new RecordsRequest(3));
+		assertThat(this.events.poll(10, TimeUnit.SECONDS)).isEqualTo("b received 3 from a");
+	}
+
+	private int transportListen(PeerTransport transport) {
+		CompletableFuture<Integer> bound = new CompletableFuture<>();
+		RunnableEx listen = () -> bound.complete(transport.listen(new InetSocketAddress("127.0.0.1", 0)).getPort());
+		this.loop.submit(listen).join();
+		return bound.join();
+	}
+
+	private Started transport(String host, String address) {
+		PeerHandler handler = new PeerHandler() {
+			@Override
+			public void onMessage(String peer, long incarnation, Message message) {
+				long offset = ((RecordsRequest) message).fromOffset();
+				SilentConnectionTests.this.events.add(host + " received " + offset + " from " + peer);
+			}
+
+			@Override
+			public Set<String> awaitedPeers() {
+				return Set.of("b");
+			}
+
+			@Override
+			public void onPeerLost(String peer) {
+				SilentConnectionTests.this.events.add(host + " lost " + peer);
+			}
+		};
+		PeerIdentity identity = new PeerIdentity(host, 1, "secret-of-the-two-hosts");
+		return new Started(new PeerTransport(this.loop, identity, TIMES, (peer) -> address, handler), this);
+	}
+
+	private void relayConnections() throws IOException {
+		for (int number = 1; !this.relay.isClosed(); number++) {
+			int connection = number;
+			Socket near = this.relay.accept();
+			Socket far = new Socket("127.0.0.1", this.port);
+			daemon(() -> copy(near, far, connection));
+			daemon(() -> copy(far, near, connection));
+		}
+	}
+
+	private void copy(Socket from, Socket to, int connection) throws IOException {
+		InputStream input = from.getInputStream();
+		OutputStream output = to.getOutputStream();
+		byte[] buffer = new byte[4096];
+		for (int count = input.read(buffer); count >= 0; count = input.read(buffer)) {
+			if (connection > this.silentConnections) {
+				output.write(buffer, 0, count);
+				output.flush();
+			}
+		}
+	}
+
+	private static void daemon(Body body) {
+		Thread thread = new Thread(() -> {
+			try {
+				body.run();
+			}
+			catch (IOException ex) {
+				Thread.currentThread().interrupt();
+			}
+		});
+		thread.setDaemon(true);
+		thread.start();
+	}
+
+	private record Started(PeerTransport transport, SilentConnectionTests test) {
+
+		int submit() {
+			return this.test.transportListen(this.transport);
+		}
+
+	}
+
+	private interface Body {
+
+		void run() throws IOException;
+
+	}
+
+}
