One look-up for the assignment in force; dead code and a needless wrapper are gone

Cause: a reading of the whole change. The newest assignment of a region was taken from its history in four places; a connection kept an incarnation that nothing read; a simulation counted dispatches that nothing printed; a slot's 'acquired()' meant that it remembers what it inherited. Change: ConfigurationState.assignment(region) serves all four; the dead parts are removed; the name says what it means; the test of silent connections has no wrapper record.

--- a/src/main/java/carawayswitch/config/ConfigurationState.java
+++ b/src/main/java/carawayswitch/config/ConfigurationState.java
@@ -126,7 +126,7 @@
 
 	private ConfigurationState foldAssignment(long recordOffset, GuardAssignment assignment) {
 		List<GuardAssignment> known = assignments(assignment.region());
-		long currentEpoch = known.isEmpty() ? 0 : known.get(known.size() - 1).epoch();
+		long currentEpoch = assignment(assignment.region()).map(GuardAssignment::epoch).getOrElse(0L);
 		if (assignment.epoch() != currentEpoch + 1 || assignment.members().isEmpty()) {
 			return at(recordOffset);
 		}
@@ -156,6 +156,16 @@
 		return this.assignments.get(region).getOrElse(List.of());
 	}
 
+	/**
+	 * Returns the assignment of a region that is in force.
+	 * @param region the region
+	 * @return the newest assignment, or nothing
+	 */
+	public Option<GuardAssignment> assignment(String region) {
+		List<GuardAssignment> known = assignments(region);
+		return known.isEmpty() ? Option.none() : Option.of(known.get(known.size() - 1));
+	}
+
 	/**
 	 * Returns the verdict on a change.
 	 * @param changeId id of the change
--- a/src/main/java/carawayswitch/guard/KeyGuard.java
+++ b/src/main/java/carawayswitch/guard/KeyGuard.java
@@ -132,7 +132,7 @@
 			}
 		}
 		slot.pendingReleases.keySet().removeIf((member) -> isSelf(member) || slot.gone.contains(member));
-		if (!slot.acquired()) {
+		if (!slot.remembers()) {
 			slot.inherited = slot.holds();
 			slot.lostEpoch = 0;
 		}
--- a/src/main/java/carawayswitch/guard/Slot.java
+++ b/src/main/java/carawayswitch/guard/Slot.java
@@ -75,7 +75,7 @@
 		return this.authority == Authority.NONE || this.authority == Authority.FORMER;
 	}
 
-	boolean acquired() {
+	boolean remembers() {
 		return this.authority == Authority.ACQUIRING || this.authority == Authority.FORMER;
 	}
 
@@ -84,7 +84,7 @@
 	}
 
 	SlotState state() {
-		boolean owned = holds() || acquired() && this.inherited && !lost();
+		boolean owned = holds() || remembers() && this.inherited && !lost();
 		return new SlotState(this.number, owned, this.floorMillis, new ArrayList<>(this.grants.values()),
 				this.knownEpoch, new ArrayList<>(this.gone));
 	}
--- a/src/main/java/carawayswitch/host/CarawayHost.java
+++ b/src/main/java/carawayswitch/host/CarawayHost.java
@@ -322,8 +322,7 @@
 	}
 
 	private GuardAssignment assignment() {
-		List<GuardAssignment> history = this.configuration.state().assignments(this.settings.host().region());
-		return history.isEmpty() ? null : history.get(history.size() - 1);
+		return this.configuration.state().assignment(this.settings.host().region()).getOrNull();
 	}
 
 	private Reachability reachability() {
--- a/src/main/java/carawayswitch/host/GuardService.java
+++ b/src/main/java/carawayswitch/host/GuardService.java
@@ -257,11 +257,10 @@
 		if (homeRegion.equals(this.region)) {
 			return this.guard.candidates(key);
 		}
-		List<GuardAssignment> history = this.configuration.state().assignments(homeRegion);
-		if (history.isEmpty()) {
+		GuardAssignment newest = this.configuration.state().assignment(homeRegion).getOrNull();
+		if (newest == null) {
 			return List.of();
 		}
-		GuardAssignment newest = history.get(history.size() - 1);
 		boolean known = this.remoteMaps.region().equals(homeRegion) && this.remoteMaps.epoch() == newest.epoch();
 		if (!known) {
 			this.remoteMaps = new SlotMaps(homeRegion, newest.epoch(), SlotMap.of(newest));
@@ -270,8 +269,7 @@
 	}
 
 	private long epoch(String homeRegion) {
-		List<GuardAssignment> history = this.configuration.state().assignments(homeRegion);
-		return history.isEmpty() ? 0 : history.get(history.size() - 1).epoch();
+		return this.configuration.state().assignment(homeRegion).map(GuardAssignment::epoch).getOrElse(0L);
 	}
 
 	KeyGuard guard() {
--- a/src/main/java/carawayswitch/measure/RequestResult.java
+++ b/src/main/java/carawayswitch/measure/RequestResult.java
@@ -16,8 +16,6 @@
 
 	long endedAt = -1;
 
-	int dispatches;
-
 	RequestResult(Request request) {
 		this.request = request;
 	}
--- a/src/main/java/carawayswitch/measure/Simulation.java
+++ b/src/main/java/carawayswitch/measure/Simulation.java
@@ -330,7 +330,6 @@
 			}
 			FakeEngine.Run run = this.runs.computeIfAbsent(work.id(),
 					(id) -> new FakeEngine.Run(attempts.result.request, this));
-			attempts.result.dispatches++;
 			this.engine.submit(run);
 		}
 
--- a/src/main/java/carawayswitch/transport/OutgoingLink.java
+++ b/src/main/java/carawayswitch/transport/OutgoingLink.java
@@ -68,8 +68,6 @@
 
 	private long sequence;
 
-	private long peerIncarnation;
-
 	OutgoingLink(NioReactor reactor, PeerIdentity identity, String peer, TrafficCounter traffic,
 			Consumer<Boolean> onClosed) {
 		this.reactor = reactor;
@@ -112,7 +110,6 @@
 		this.traffic.received(frame.readRemaining());
 		Message message = MessageCodec.decode(frame.asArray()).toOption().flatMap((decoded) -> decoded).getOrNull();
 		if (message instanceof Hello hello) {
-			this.peerIncarnation = hello.incarnation();
 			write(Frames.encode(new Proof(this.identity.sign(hello.challenge()))));
 		}
 		else if (message instanceof Proof proof && !this.ready) {
@@ -221,10 +218,6 @@
 		return this.peer;
 	}
 
-	long peerIncarnation() {
-		return this.ready ? this.peerIncarnation : 0;
-	}
-
 	private record Pending(Message message, Runnable onUnsent) {
 
 	}
--- a/src/main/java/carawayswitch/transport/PeerTransport.java
+++ b/src/main/java/carawayswitch/transport/PeerTransport.java
@@ -164,16 +164,6 @@
 		return link;
 	}
 
-	/**
-	 * Returns the incarnation number of a host as its connection proved it.
-	 * @param peer id of the host
-	 * @return the incarnation number, or 0 without a connection
-	 */
-	public long incarnation(String peer) {
-		OutgoingLink link = this.outgoing.get(peer);
-		return (link != null) ? link.peerIncarnation() : 0;
-	}
-
 	/**
 	 * Returns the traffic so far.
 	 * @return the counter
--- a/src/test/java/carawayswitch/transport/SilentConnectionTests.java
+++ b/src/test/java/carawayswitch/transport/SilentConnectionTests.java
@@ -48,7 +48,7 @@
 		thread.setDaemon(true);
 		thread.start();
 		this.relay = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-		this.port = transport("b", "").submit();
+		this.port = listen(transport("b", ""));
 		daemon(this::relayConnections);
 	}
 
@@ -61,8 +61,8 @@
 
 	@Test
 	void silentConnectionIsReplacedWhileAnAnswerIsAwaited() throws Exception {
-		PeerTransport sender = transport("a", "127.0.0.1:" + this.relay.getLocalPort()).transport();
-		transportListen(sender);
+		PeerTransport sender = transport("a", "127.0.0.1:" + this.relay.getLocalPort());
+		listen(sender);
 		sender.send("b", new RecordsRequest(1));
 		assertThat(this.events.poll(10, TimeUnit.SECONDS)).isEqualTo("b received 1 from a");
 		this.silentConnections = 1;
@@ -72,14 +72,14 @@
 		assertThat(this.events.poll(10, TimeUnit.SECONDS)).isEqualTo("b received 3 from a");
 	}
 
-	private int transportListen(PeerTransport transport) {
+	private int listen(PeerTransport transport) {
 		CompletableFuture<Integer> bound = new CompletableFuture<>();
-		RunnableEx listen = () -> bound.complete(transport.listen(new InetSocketAddress("127.0.0.1", 0)).getPort());
-		this.loop.submit(listen).join();
+		RunnableEx task = () -> bound.complete(transport.listen(new InetSocketAddress("127.0.0.1", 0)).getPort());
+		this.loop.submit(task).join();
 		return bound.join();
 	}
 
-	private Started transport(String host, String address) {
+	private PeerTransport transport(String host, String address) {
 		PeerHandler handler = new PeerHandler() {
 			@Override
 			public void onMessage(String peer, long incarnation, Message message) {
@@ -98,7 +98,7 @@
 			}
 		};
 		PeerIdentity identity = new PeerIdentity(host, 1, "secret-of-the-two-hosts");
-		return new Started(new PeerTransport(this.loop, identity, TIMES, (peer) -> address, handler), this);
+		return new PeerTransport(this.loop, identity, TIMES, (peer) -> address, handler);
 	}
 
 	private void relayConnections() throws IOException {
@@ -136,14 +136,6 @@
 		thread.start();
 	}
 
-	private record Started(PeerTransport transport, SilentConnectionTests test) {
-
-		int submit() {
-			return this.test.transportListen(this.transport);
-		}
-
-	}
-
 	private interface Body {
 
 		void run() throws IOException;
