--- a/src/main/java/carawayswitch/cli/Main.java
+++ b/src/main/java/carawayswitch/cli/Main.java
@@ -13,10 +13,10 @@
  */
 public final class Main {
 
-	static final List<Command> COMMANDS = List.of(new ServeCommand(), new CheckCommand(), new TryCommand(),
-			new StandInCommand(), new MeasureCommand(), new SlopesCommand(), new EntityCommand("tier"),
-			new EntityCommand("profile"), new EntityCommand("organisation"), new EntityCommand("service"),
-			new EntityCommand("endpoint"), new StatusCommand(), new AuditCommand());
+	static final List<Command> COMMANDS = List.of(new ServeCommand(), new GatewayCommand(), new CheckCommand(),
+			new TryCommand(), new StandInCommand(), new MeasureCommand(), new SlopesCommand(),
+			new EntityCommand("tier"), new EntityCommand("profile"), new EntityCommand("organisation"),
+			new EntityCommand("service"), new EntityCommand("endpoint"), new StatusCommand(), new AuditCommand());
 
 	private Main() {
 	}
--- /dev/null
+++ b/src/main/java/carawayswitch/gateway/FrontServer.java
@@ -0,0 +1,117 @@
+package carawayswitch.gateway;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.activej.net.SimpleServer;
+import io.activej.net.socket.tcp.ITcpSocket;
+import io.activej.reactor.net.ServerSocketSettings;
+
+import carawayswitch.http.ReceivedRequest;
+import carawayswitch.http.RequestLimits;
+import carawayswitch.http.ServerConnection;
+import carawayswitch.log.LogEvent;
+import carawayswitch.route.RouteTable;
+
+/**
+ * Accepts connections of clients and starts an exchange for each request. Confined to the
+ * thread of its event loop.
+ */
+final class FrontServer implements ServerConnection.Handler {
+
+	private static final int BACKLOG = 1024;
+
+	/** Time between two looks at idle and slow clients in milliseconds. */
+	private static final long SWEEP_MILLIS = 500;
+
+	private final GatewayContext context;
+
+	private final Map<ServerConnection, Exchange> connections = new HashMap<>();
+
+	private SimpleServer server;
+
+	private int active;
+
+	FrontServer(GatewayContext context) {
+		this.context = context;
+	}
+
+	void listen(InetSocketAddress address) throws IOException {
+		this.server = SimpleServer.builder(this.context.reactor, this::accept)
+			.withListenAddress(address)
+			.withServerSocketSettings(ServerSocketSettings.create(BACKLOG))
+			.build();
+		this.server.listen();
+		sweep();
+	}
+
+	private void accept(ITcpSocket socket) {
+		ServerConnection connection = new ServerConnection(socket, this, this::limits, Clocks::steadyMillis);
+		this.connections.put(connection, null);
+		if (this.context.stopping()) {
+			connection.closeAfterResponse();
+		}
+		connection.start();
+	}
+
+	private RequestLimits limits() {
+		RouteTable table = this.context.routes.get();
+		return (table != null) ? table.limits() : RequestLimits.DEFAULT;
+	}
+
+	private void sweep() {
+		long now = Clocks.steadyMillis();
+		List.copyOf(this.connections.keySet()).forEach((connection) -> connection.checkTimeouts(now));
+		this.context.reactor.delayBackground(SWEEP_MILLIS, this::sweep);
+	}
+
+	@Override
+	public void onRequest(ServerConnection connection, ReceivedRequest request) {
+		this.active++;
+		Exchange[] holder = new Exchange[1];
+		holder[0] = new Exchange(this.context, connection, request, () -> {
+			this.active--;
+			this.connections.computeIfPresent(connection, (key, exchange) -> (exchange == holder[0]) ? null : exchange);
+			this.connections.putIfAbsent(connection, null);
+		});
+		this.connections.put(connection, holder[0]);
+		holder[0].start(Clocks.steadyMillis());
+	}
+
+	@Override
+	public void onRejected(ServerConnection connection, int status) {
+		this.context.log.write(LogEvent.REQUEST_REJECTED, "status", status, "limits_version",
+				(this.context.routes.get() != null) ? this.context.routes.get().version() : -1);
+	}
+
+	@Override
+	public void onClosed(ServerConnection connection) {
+		Exchange exchange = this.connections.remove(connection);
+		if (exchange != null) {
+			exchange.onClientGone();
+			this.connections.remove(connection);
+		}
+	}
+
+	/** Makes the next answer on each connection the last one. */
+	void closeAfterResponses() {
+		this.connections.keySet().forEach(ServerConnection::closeAfterResponse);
+	}
+
+	/** Closes the connections on which no request is in progress. */
+	void closeIdle() {
+		List.copyOf(this.connections.keySet()).forEach(ServerConnection::closeIfIdle);
+	}
+
+	int active() {
+		return this.active;
+	}
+
+	int connections() {
+		return this.connections.size();
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/gateway/GatewayContext.java
@@ -0,0 +1,92 @@
+package carawayswitch.gateway;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicReference;
+
+import io.activej.reactor.nio.NioReactor;
+
+import carawayswitch.http.ConnectionPool;
+import carawayswitch.log.DecisionLog;
+import carawayswitch.metrics.HostMetrics;
+import carawayswitch.route.Confirmation;
+import carawayswitch.route.EndpointTable;
+import carawayswitch.route.RouteTable;
+import carawayswitch.schedule.LengthEstimate;
+import carawayswitch.schedule.PlainPool;
+import carawayswitch.schedule.RetryShare;
+
+/**
+ * What the requests of a host share. The beliefs are replaced as a whole and may be read
+ * by any thread; everything else is confined to the thread of the event loop.
+ */
+final class GatewayContext {
+
+	final NioReactor reactor;
+
+	final AtomicReference<GatewaySettings> settings;
+
+	final AtomicReference<RouteTable> routes = new AtomicReference<>();
+
+	final AtomicReference<EndpointTable> endpoints = new AtomicReference<>(EndpointTable.EMPTY);
+
+	final AtomicReference<Confirmation> confirmed = new AtomicReference<>(Confirmation.NONE);
+
+	final WireFormat wire;
+
+	final ConnectionPool connections;
+
+	final Placements placements;
+
+	final DecisionLog log;
+
+	final HostMetrics metrics;
+
+	final SplittableRandom random = new SplittableRandom();
+
+	final LengthEstimate lengths = new LengthEstimate();
+
+	final Map<String, PlainPool> plainPools = new HashMap<>();
+
+	final Map<String, RetryShare> retryShares = new HashMap<>();
+
+	GatewayPeers peers;
+
+	/** Steady time at which the planned stop began, or a negative number. */
+	long stoppingSince = -1;
+
+	GatewayContext(NioReactor reactor, GatewaySettings settings, WireFormat wire, ConnectionPool connections,
+			Placements placements, DecisionLog log, HostMetrics metrics) {
+		this.reactor = reactor;
+		this.settings = new AtomicReference<>(settings);
+		this.wire = wire;
+		this.connections = connections;
+		this.placements = placements;
+		this.log = log;
+		this.metrics = metrics;
+	}
+
+	GatewaySettings.Bounds bounds() {
+		return this.settings.get().bounds();
+	}
+
+	long configurationAge() {
+		return this.confirmed.get().age(Clocks.steadyMillis(), Clocks.wallMillis());
+	}
+
+	PlainPool plainPool(String service) {
+		return this.plainPools.computeIfAbsent(service, (name) -> new PlainPool());
+	}
+
+	RetryShare retryShare(String service) {
+		GatewaySettings.Bounds bounds = bounds();
+		return this.retryShares.computeIfAbsent(service,
+				(name) -> new RetryShare(bounds.retryRatio(), bounds.retryExtra(), bounds.retryWindowMillis()));
+	}
+
+	boolean stopping() {
+		return this.stoppingSince >= 0;
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/gateway/GatewayHost.java
@@ -0,0 +1,348 @@
+package carawayswitch.gateway;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.function.BiFunction;
+
+import io.activej.eventloop.Eventloop;
+import io.activej.reactor.nio.NioReactor;
+
+import carawayswitch.http.ConnectionPool;
+import carawayswitch.log.DecisionLog;
+import carawayswitch.log.LogEvent;
+import carawayswitch.metrics.HostMetrics;
+import carawayswitch.metrics.Metric;
+import carawayswitch.route.EndpointBeliefs;
+import carawayswitch.route.EndpointEntry;
+import carawayswitch.route.EndpointTable;
+import carawayswitch.route.RouteTable;
+
+/**
+ * A gateway host: front for clients, follower of the platform's store, and owner of the
+ * pools that fall to it. Invariant: nothing that must outlive the process is kept only
+ * here; a version of the configuration is never followed by an older one. {@link #start},
+ * {@link #stop} and {@link #reload} may be called by any thread.
+ *
+ * <pre>
+ * GatewayHost host = GatewayHost.start(settings, 9464, new PlatformWireFormat(), platform);
+ * host.stop().join();
+ * </pre>
+ */
+public final class GatewayHost {
+
+	/** Most log lines per second; about twice those of a busy second. */
+	private static final long LOG_LINES_PER_SECOND = 400;
+
+	/** Wait of a read for a new configuration in milliseconds. */
+	private static final long CONFIGURATION_WAIT_MILLIS = 1000;
+
+	/**
+	 * Pause between two reads of configurations in milliseconds; bounds the calls while
+	 * configurations come in quick succession.
+	 */
+	private static final long CONFIGURATION_PAUSE_MILLIS = 50;
+
+	/** Part of the drain bound after which entries of endpoints are read again. */
+	private static final double ENDPOINT_PAUSE_SHARE = 0.35;
+
+	/** Pause between two reads of the directory of hosts in milliseconds. */
+	private static final long DIRECTORY_PAUSE_MILLIS = 3000;
+
+	/** Time between two looks at ages and clocks in milliseconds. */
+	private static final long WATCH_MILLIS = 100;
+
+	/**
+	 * Part of the revocation bound after which the configuration is confirmed at once.
+	 */
+	private static final double CONFIRM_SHARE = 0.5;
+
+	/** Difference of the clocks in milliseconds that counts as a step. */
+	private static final long CLOCK_STEP_MILLIS = 500;
+
+	private static final long PUBLISH_RETRY_MILLIS = 500;
+
+	/**
+	 * Time in milliseconds from the start of a stop until the balancer has seen two
+	 * negative answers to its readiness question, one a second.
+	 */
+	private static final long BALANCER_MILLIS = 2600;
+
+	/** Time in milliseconds that is kept for the end of the process. */
+	private static final long EXIT_MILLIS = 600;
+
+	private static final long STOP_CHECK_MILLIS = 20;
+
+	private static final int OK = 200;
+
+	private static final int NOT_FOUND = 404;
+
+	private static final int UNAVAILABLE = 503;
+
+	private final Eventloop loop;
+
+	private final GatewayContext context;
+
+	private final HostRecord self;
+
+	private final Platform platform;
+
+	private final FrontServer front;
+
+	private final GatewayPeers peers;
+
+	private final EndpointBeliefs endpointBeliefs = new EndpointBeliefs();
+
+	private final BeliefFollower<RouteTable> configurations;
+
+	private final BeliefFollower<EndpointEntry> endpoints;
+
+	private final BeliefFollower<HostRecord> directory;
+
+	private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+
+	private boolean ready;
+
+	private boolean endpointsKnown;
+
+	private long clockDifference = Clocks.wallMillis() - Clocks.steadyMillis();
+
+	private GatewayHost(Eventloop loop, GatewaySettings settings, WireFormat wire,
+			BiFunction<NioReactor, ConnectionPool, Platform> platforms) {
+		this.loop = loop;
+		DecisionLog log = new DecisionLog(LOG_LINES_PER_SECOND, Clocks::steadyMillis);
+		ConnectionPool pool = new ConnectionPool(loop, Clocks::steadyMillis);
+		Placements placements = new Placements(loop, log, settings.bounds().capSlack());
+		this.context = new GatewayContext(loop, settings, wire, pool, placements, log, new HostMetrics());
+		this.platform = platforms.apply(loop, pool);
+		this.self = new HostRecord(settings.host(),
+				settings.internal().getHostString() + ":" + settings.internal().getPort(), settings.zone(),
+				Clocks.wallMillis());
+		this.peers = new GatewayPeers(loop, this.self, settings.clusterName(), log, placements);
+		this.context.peers = this.peers;
+		this.front = new FrontServer(this.context);
+		this.configurations = new BeliefFollower<>(loop, "configuration", this.platform.configurations(),
+				new BeliefFollower.Pace(CONFIGURATION_WAIT_MILLIS, CONFIGURATION_PAUSE_MILLIS), log,
+				this::onConfiguration);
+		this.endpoints = new BeliefFollower<>(loop, "endpoints", this.platform.endpoints(),
+				new BeliefFollower.Pace(0, (long) (settings.bounds().drainMillis() * ENDPOINT_PAUSE_SHARE)), log,
+				this::onEndpoints);
+		this.directory = new BeliefFollower<>(loop, "hosts", this.platform.directory().records(),
+				new BeliefFollower.Pace(0, DIRECTORY_PAUSE_MILLIS), log, this::onDirectory);
+	}
+
+	/**
+	 * Starts a host.
+	 * @param settings settings of the host
+	 * @param metricsPort port for metrics on the internal address, or 0 for none
+	 * @param wire headers of requests and answers
+	 * @param platforms creates the adapter to the platform
+	 * @return the running host
+	 * @throws IOException if an address cannot be bound
+	 */
+	public static GatewayHost start(GatewaySettings settings, int metricsPort, WireFormat wire,
+			BiFunction<NioReactor, ConnectionPool, Platform> platforms) throws IOException {
+		Eventloop loop = Eventloop.builder()
+			.withTimeProvider(Clocks::steadyMillis)
+			.withFatalErrorHandler((failure, at) -> LogEvent.INTERNAL_ERROR.log("reason", failure, "context", at, "at",
+					(failure.getStackTrace().length > 0) ? failure.getStackTrace()[0] : ""))
+			.build();
+		loop.keepAlive(true);
+		Thread thread = new Thread(loop, settings.host());
+		thread.start();
+		GatewayHost host = new GatewayHost(loop, settings, wire, platforms);
+		try {
+			loop.submit(() -> host.listen(metricsPort)).join();
+		}
+		catch (CompletionException ex) {
+			loop.execute(() -> loop.keepAlive(false));
+			throw new IOException(ex.getCause());
+		}
+		return host;
+	}
+
+	private void listen(int metricsPort) throws IOException {
+		GatewaySettings settings = this.context.settings.get();
+		this.peers.start(settings.internal());
+		this.context.placements.start(this.peers);
+		this.front.listen(settings.front());
+		new StatusServer(this.loop, (path) -> new StatusServer.Answer(ready() ? OK : UNAVAILABLE, ""))
+			.listen(settings.readiness());
+		if (metricsPort > 0) {
+			new StatusServer(this.loop, this::metricsPage)
+				.listen(new InetSocketAddress(settings.internal().getAddress(), metricsPort));
+		}
+		registerGauges();
+		this.context.log.write(LogEvent.HOST_STARTED, "host", settings.host(), "zone", settings.zone(), "http",
+				settings.front(), "internal", settings.internal(), "incarnation", this.self.incarnation());
+		this.configurations.start();
+		this.endpoints.start();
+		this.directory.start();
+		publish();
+		watch();
+	}
+
+	private StatusServer.Answer metricsPage(String path) {
+		return path.equals("/metrics") ? new StatusServer.Answer(OK, this.context.metrics.scrape())
+				: new StatusServer.Answer(NOT_FOUND, "");
+	}
+
+	private void registerGauges() {
+		HostMetrics metrics = this.context.metrics;
+		metrics.gauge(Metric.IN_FLIGHT, this.front::active);
+		metrics.gauge(Metric.VIEW_HOSTS, this.peers::liveCount);
+		metrics.gauge(Metric.PEER_BYTES, this.peers::sentBytes);
+		metrics.gauge(Metric.CONFIGURATION_VERSION,
+				() -> Optional.ofNullable(this.context.routes.get()).map(RouteTable::version).orElse(-1L));
+		metrics.gauge(Metric.CONFIGURATION_AGE, this.context::configurationAge);
+		metrics.gauge(Metric.PLACES_WAITING, this.context.placements::waitingCount);
+		metrics.gauge(Metric.PLACES_RUNNING, this.context.placements::runningCount);
+		metrics.gauge(Metric.ENDPOINT_CONNECTIONS, this.context.connections::opened);
+	}
+
+	private void publish() {
+		this.platform.directory().publish(this.self).whenException((failure) -> {
+			this.context.log.write(LogEvent.STORE_LOST, "records", "own_host_record", "reason", failure.getMessage());
+			if (!this.context.stopping()) {
+				this.loop.delayBackground(PUBLISH_RETRY_MILLIS, this::publish);
+			}
+		});
+	}
+
+	private void onConfiguration(BeliefFollower.Update<RouteTable> update) {
+		this.context.confirmed.set(this.context.confirmed.get().newer(update.confirmation()));
+		RouteTable known = this.context.routes.get();
+		for (Optional<RouteTable> entry : update.entries().values()) {
+			if (entry.isPresent() && (known == null || entry.get().version() > known.version())) {
+				known = entry.get();
+				this.context.routes.set(known);
+				this.context.log.write(LogEvent.ROUTES_CHANGED, "version", known.version(), "routes", known.size(),
+						"keys_in_use", known.keysInUse());
+				this.context.placements.believe(known, this.context.endpoints.get());
+			}
+		}
+	}
+
+	private void onEndpoints(BeliefFollower.Update<EndpointEntry> update) {
+		this.endpointsKnown = true;
+		this.endpointBeliefs.update(update.entries(), update.whole(), update.outageMillis(), Clocks.steadyMillis());
+		swapEndpoints();
+	}
+
+	private void swapEndpoints() {
+		EndpointTable before = this.context.endpoints.get();
+		EndpointTable after = this.endpointBeliefs.table();
+		if (after.byId().equals(before.byId())) {
+			return;
+		}
+		this.context.endpoints.set(after);
+		TreeSet<String> ids = new TreeSet<>(before.byId().keySet());
+		ids.addAll(after.byId().keySet());
+		for (String id : ids) {
+			EndpointEntry old = before.byId().get(id);
+			EndpointEntry now = after.byId().get(id);
+			if (now == null || !now.equals(old)) {
+				this.context.log.write(LogEvent.ENDPOINT_CHANGED, "endpoint", id, "state", state(now), "service",
+						(now != null) ? now.service() : old.service());
+			}
+			if (now == null) {
+				this.context.connections.closeIdle(old.address());
+			}
+		}
+		this.context.placements.believe(this.context.routes.get(), after);
+	}
+
+	private static String state(EndpointEntry entry) {
+		if (entry == null) {
+			return "gone";
+		}
+		return entry.leaving() ? "leaving" : "working";
+	}
+
+	private void onDirectory(BeliefFollower.Update<HostRecord> update) {
+		this.peers.known(update.entries().values().stream().flatMap(Optional::stream).toList(), Clocks.steadyMillis());
+	}
+
+	private void watch() {
+		long difference = Clocks.wallMillis() - Clocks.steadyMillis();
+		if (Math.abs(difference - this.clockDifference) > CLOCK_STEP_MILLIS) {
+			this.context.log.write(LogEvent.CLOCK_STEPPED, "by_ms", difference - this.clockDifference);
+		}
+		this.clockDifference = difference;
+		if (this.context.configurationAge() > this.context.bounds().revocationMillis() * CONFIRM_SHARE) {
+			this.configurations.confirmNow();
+		}
+		this.endpointBeliefs.settle(Clocks.steadyMillis());
+		swapEndpoints();
+		ready();
+		this.loop.delayBackground(WATCH_MILLIS, this::watch);
+	}
+
+	private boolean ready() {
+		RouteTable table = this.context.routes.get();
+		boolean confirmed = table != null && (!table.keysInUse()
+				|| Admission.keysConfirmed(this.context.configurationAge(), this.context.bounds()));
+		boolean now = confirmed && this.endpointsKnown && !this.context.stopping();
+		if (now != this.ready) {
+			this.ready = now;
+			this.context.log.write(LogEvent.READINESS_CHANGED, "ready", now, "configuration_age_ms",
+					this.context.configurationAge(), "stopping", this.context.stopping());
+		}
+		return now;
+	}
+
+	/**
+	 * Takes over settings that may change while a host runs.
+	 * @param settings the new settings
+	 */
+	public void reload(GatewaySettings settings) {
+		this.loop.execute(() -> {
+			GatewaySettings before = this.context.settings.getAndSet(settings);
+			this.context.log.write(LogEvent.SETTINGS_RELOADED, "changed", !before.equals(settings), "need_restart",
+					before.differencesThatNeedRestart(settings));
+		});
+	}
+
+	/**
+	 * Stops the host without cutting off a request: it tells the balancer and the other
+	 * hosts, serves what still comes, and ends when nothing is in progress or its time is
+	 * over.
+	 * @return completes when the host has stopped
+	 */
+	public CompletableFuture<Void> stop() {
+		this.loop.execute(() -> {
+			if (!this.context.stopping()) {
+				this.context.stoppingSince = Clocks.steadyMillis();
+				this.context.log.write(LogEvent.HOST_STOPPING, "in_flight", this.front.active(), "connections",
+						this.front.connections());
+				this.peers.leave();
+				this.platform.directory()
+					.remove(this.self.host())
+					.whenException((failure) -> this.context.log.write(LogEvent.STORE_LOST, "records",
+							"own_host_record", "reason", failure.getMessage()));
+				this.front.closeAfterResponses();
+				advanceStop();
+			}
+		});
+		return this.stopped;
+	}
+
+	private void advanceStop() {
+		long since = Clocks.steadyMillis() - this.context.stoppingSince;
+		boolean done = since > BALANCER_MILLIS && this.front.active() == 0;
+		if (done || since > this.context.bounds().graceMillis() - EXIT_MILLIS) {
+			this.front.closeIdle();
+			this.context.log.write(LogEvent.HOST_STOPPED, "in_flight", this.front.active(), "ms", since);
+			this.context.log.close();
+			this.stopped.complete(null);
+			this.loop.keepAlive(false);
+		}
+		else {
+			this.loop.delay(STOP_CHECK_MILLIS, this::advanceStop);
+		}
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/gateway/StatusServer.java
@@ -0,0 +1,66 @@
+package carawayswitch.gateway;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.function.Function;
+
+import io.activej.net.SimpleServer;
+import io.activej.reactor.nio.NioReactor;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaderNames;
+
+import carawayswitch.http.ReceivedRequest;
+import carawayswitch.http.RequestLimits;
+import carawayswitch.http.ServerConnection;
+
+/**
+ * Small server that answers each request from memory. Confined to the thread of its event
+ * loop.
+ */
+final class StatusServer implements ServerConnection.Handler {
+
+	private final NioReactor reactor;
+
+	private final Function<String, Answer> answers;
+
+	StatusServer(NioReactor reactor, Function<String, Answer> answers) {
+		this.reactor = reactor;
+		this.answers = answers;
+	}
+
+	void listen(InetSocketAddress address) throws IOException {
+		SimpleServer
+			.builder(this.reactor,
+					(socket) -> new ServerConnection(socket, this, () -> RequestLimits.DEFAULT, Clocks::steadyMillis)
+						.start())
+			.withListenAddress(address)
+			.build()
+			.listen();
+	}
+
+	@Override
+	public void onRequest(ServerConnection connection, ReceivedRequest request) {
+		Answer answer = this.answers.apply(request.path());
+		connection.respond(answer.status(), new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "text/plain"),
+				answer.text().getBytes(java.nio.charset.StandardCharsets.UTF_8));
+	}
+
+	@Override
+	public void onRejected(ServerConnection connection, int status) {
+	}
+
+	@Override
+	public void onClosed(ServerConnection connection) {
+	}
+
+	/**
+	 * An answer. Immutable.
+	 *
+	 * @param status HTTP status
+	 * @param text body
+	 */
+	record Answer(int status, String text) {
+
+	}
+
+}
--- a/src/main/java/carawayswitch/host/CarawayHost.java
+++ b/src/main/java/carawayswitch/host/CarawayHost.java
@@ -63,6 +63,7 @@
 import carawayswitch.platform.LogService;
 import carawayswitch.schedule.EndpointScheduler;
 import carawayswitch.settings.Settings;
+import carawayswitch.time.MonotonicClock;
 import carawayswitch.transport.PeerHandler;
 import carawayswitch.transport.PeerIdentity;
 import carawayswitch.transport.PeerTransport;
--- a/src/main/java/carawayswitch/host/GuardService.java
+++ b/src/main/java/carawayswitch/host/GuardService.java
@@ -37,6 +37,7 @@
 import carawayswitch.message.ReplyHead;
 import carawayswitch.outcome.ErrorKind;
 import carawayswitch.outcome.Outcome;
+import carawayswitch.time.MonotonicClock;
 import carawayswitch.transport.PeerTransport;
 
 /**
--- /dev/null
+++ b/src/main/java/carawayswitch/http/ClientConnection.java
@@ -0,0 +1,303 @@
+package carawayswitch.http;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.net.socket.tcp.TcpSocket;
+import io.activej.reactor.net.SocketSettings;
+import io.activej.reactor.nio.NioReactor;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * Connection to a server. Carries one request at a time. Invariants: bytes that follow a
+ * complete response are never taken for the response to a later request; a response that
+ * belongs to another request is skipped; a connection on which anything was out of order
+ * is not used again. Confined to the thread of its event loop.
+ */
+public final class ClientConnection {
+
+	private static final int MAX_HEADER_BYTES = 64 * 1024;
+
+	/**
+	 * Idle time in milliseconds after which a connection is not used again if the server
+	 * states none; shorter than the idle time-out of common servers.
+	 */
+	private static final long DEFAULT_KEEP_ALIVE_MILLIS = 5000;
+
+	/**
+	 * Taken off the idle time that a server states, in milliseconds, for the way there.
+	 */
+	private static final long KEEP_ALIVE_MARGIN_MILLIS = 1000;
+
+	private static final long SECOND_MILLIS = 1000;
+
+	private final TcpSocket socket;
+
+	private final LongSupplier steadyMillis;
+
+	private final HttpMessageCodec codec = HttpMessageCodec.client(MAX_HEADER_BYTES);
+
+	private final Runnable onIdleClosed;
+
+	private ResponseListener listener;
+
+	private boolean inResponse;
+
+	private boolean skipping;
+
+	private boolean reusable = true;
+
+	private boolean closed;
+
+	private boolean writing;
+
+	private boolean paused;
+
+	private boolean readPending;
+
+	private long idleSince;
+
+	private long keepAliveMillis = DEFAULT_KEEP_ALIVE_MILLIS;
+
+	private ClientConnection(TcpSocket socket, LongSupplier steadyMillis, Runnable onIdleClosed) {
+		this.socket = socket;
+		this.steadyMillis = steadyMillis;
+		this.onIdleClosed = onIdleClosed;
+	}
+
+	/**
+	 * Opens a connection.
+	 * @param reactor the event loop
+	 * @param address address of the server
+	 * @param timeout longest wait
+	 * @param steadyMillis the steady clock in milliseconds
+	 * @param onIdleClosed run when the connection closes while it carries no request
+	 * @param onDone receives the connection, or null and the failure
+	 */
+	static void open(NioReactor reactor, InetSocketAddress address, Duration timeout, LongSupplier steadyMillis,
+			Consumer<ClientConnection> onIdleClosed, BiConsumer<ClientConnection, Exception> onDone) {
+		TcpSocket.connect(reactor, address, timeout, SocketSettings.create()).subscribe((socket, failure) -> {
+			if (failure != null) {
+				onDone.accept(null, failure);
+				return;
+			}
+			ClientConnection[] holder = new ClientConnection[1];
+			holder[0] = new ClientConnection(socket, steadyMillis, () -> onIdleClosed.accept(holder[0]));
+			holder[0].read();
+			onDone.accept(holder[0], null);
+		});
+	}
+
+	/**
+	 * Sends a request.
+	 * @param request the request; framing headers are set here
+	 * @param responseListener receives the response
+	 */
+	void send(HttpRequestParts request, ResponseListener responseListener) {
+		this.listener = responseListener;
+		request.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
+		if (request.body().length > 0 || !request.method().equals(HttpMethod.GET.name())) {
+			request.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+		}
+		else {
+			request.headers().remove(HttpHeaderNames.CONTENT_LENGTH);
+		}
+		byte[] bytes = this.codec.encode(
+				new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(request.method()), request.target(),
+						Unpooled.wrappedBuffer(request.body()), request.headers(), new DefaultHttpHeaders()));
+		this.writing = true;
+		this.socket.write(ByteBuf.wrapForReading(bytes)).subscribe((done, failure) -> {
+			this.writing = false;
+			if (failure != null) {
+				fail("write failed: " + failure.getMessage());
+			}
+		});
+	}
+
+	private void read() {
+		this.readPending = true;
+		this.socket.read().subscribe((buffer, failure) -> {
+			this.readPending = false;
+			if (this.closed) {
+				if (buffer != null) {
+					buffer.recycle();
+				}
+				return;
+			}
+			if (failure != null) {
+				fail("connection lost: " + failure.getMessage());
+			}
+			else if (buffer == null) {
+				onEnd();
+			}
+			else {
+				onParts(this.codec.decode(buffer.asArray()));
+				if (!this.closed && !this.paused) {
+					read();
+				}
+			}
+		});
+	}
+
+	private void onParts(Iterable<HttpObject> parts) {
+		for (HttpObject part : parts) {
+			if (!this.closed) {
+				onPart(part);
+			}
+			ReferenceCountUtil.release(part);
+		}
+	}
+
+	private void onEnd() {
+		this.reusable = false;
+		onParts(this.codec.decodeEnd());
+		fail("connection closed by the server");
+	}
+
+	private void onPart(HttpObject part) {
+		if (part.decoderResult().isFailure()) {
+			fail("malformed response: " + part.decoderResult().cause().getMessage());
+			return;
+		}
+		if (this.listener == null) {
+			fail("bytes without a request");
+			return;
+		}
+		if (part instanceof HttpResponse response) {
+			onHead(response);
+		}
+		if (part instanceof HttpContent content && !this.closed) {
+			onContent(content);
+		}
+	}
+
+	private void onHead(HttpResponse response) {
+		this.inResponse = true;
+		boolean informational = response.status().code() < 200;
+		this.skipping = informational || !this.listener.accepts(response);
+		if (this.skipping) {
+			return;
+		}
+		this.reusable = HttpUtil.isKeepAlive(response)
+				&& (HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response));
+		String keepAlive = response.headers().get(HttpHeaderNames.KEEP_ALIVE);
+		if (keepAlive != null) {
+			this.keepAliveMillis = keepAliveMillis(keepAlive);
+		}
+		this.listener.onHead(response);
+	}
+
+	private static long keepAliveMillis(String header) {
+		for (String part : header.split(",")) {
+			String[] pair = part.trim().split("=", 2);
+			if (pair.length == 2 && pair[0].equalsIgnoreCase("timeout") && pair[1].matches("\\d{1,6}")) {
+				return Math.max(0, Long.parseLong(pair[1]) * SECOND_MILLIS - KEEP_ALIVE_MARGIN_MILLIS);
+			}
+		}
+		return DEFAULT_KEEP_ALIVE_MILLIS;
+	}
+
+	private void onContent(HttpContent content) {
+		boolean last = content instanceof LastHttpContent;
+		if (!this.skipping && content.content().isReadable()) {
+			byte[] bytes = new byte[content.content().readableBytes()];
+			content.content().readBytes(bytes);
+			this.listener.onBody(bytes);
+		}
+		if (last && !this.closed) {
+			this.inResponse = false;
+			if (!this.skipping) {
+				complete();
+			}
+			this.skipping = false;
+		}
+	}
+
+	private void complete() {
+		ResponseListener finished = this.listener;
+		this.listener = null;
+		this.idleSince = this.steadyMillis.getAsLong();
+		if (!this.reusable || this.writing) {
+			close();
+		}
+		finished.onComplete();
+	}
+
+	private void fail(String reason) {
+		if (this.closed) {
+			return;
+		}
+		ResponseListener failed = this.listener;
+		this.listener = null;
+		close();
+		if (failed != null) {
+			failed.onFailure(reason);
+		}
+		else {
+			this.onIdleClosed.run();
+		}
+	}
+
+	/**
+	 * Stops reading until {@link #resume()}, so that the server slows down.
+	 */
+	public void pause() {
+		this.paused = true;
+	}
+
+	/**
+	 * Reads on after {@link #pause()}.
+	 */
+	public void resume() {
+		if (this.paused) {
+			this.paused = false;
+			if (!this.closed && !this.readPending) {
+				read();
+			}
+		}
+	}
+
+	/**
+	 * Returns whether the connection may carry another request.
+	 * @param now steady time in milliseconds
+	 * @param maxIdleMillis longest idle time in milliseconds
+	 * @return true if it is open, idle and not idle for too long
+	 */
+	boolean usable(long now, long maxIdleMillis) {
+		return !this.closed && this.listener == null && !this.inResponse
+				&& now - this.idleSince <= Math.min(maxIdleMillis, this.keepAliveMillis);
+	}
+
+	boolean closed() {
+		return this.closed;
+	}
+
+	/**
+	 * Closes the connection without telling the listener. Cancels what the server still
+	 * does for it.
+	 */
+	public void close() {
+		if (!this.closed) {
+			this.closed = true;
+			this.listener = null;
+			this.socket.close();
+			this.codec.release();
+		}
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/http/ConnectionPool.java
@@ -0,0 +1,243 @@
+package carawayswitch.http;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.LongSupplier;
+
+import io.activej.reactor.nio.NioReactor;
+import io.netty.handler.codec.http.HttpResponse;
+
+/**
+ * Connections to servers, kept for further requests. Invariant: a connection carries one
+ * request at a time. Confined to the thread of its event loop.
+ *
+ * <pre>
+ * Cancellation call = pool.send(address, request, options, listener);
+ * call.cancel();
+ * </pre>
+ */
+public final class ConnectionPool {
+
+	private final NioReactor reactor;
+
+	private final LongSupplier steadyMillis;
+
+	private final Map<InetSocketAddress, Deque<ClientConnection>> idle = new HashMap<>();
+
+	private long opened;
+
+	/**
+	 * Creates an empty pool.
+	 * @param reactor the event loop
+	 * @param steadyMillis the steady clock in milliseconds
+	 */
+	public ConnectionPool(NioReactor reactor, LongSupplier steadyMillis) {
+		this.reactor = reactor;
+		this.steadyMillis = steadyMillis;
+	}
+
+	/**
+	 * Sends a request on a kept connection or on a new one.
+	 * @param address address of the server
+	 * @param request the request
+	 * @param options how to connect
+	 * @param listener receives the response
+	 * @return the call
+	 */
+	public Call send(InetSocketAddress address, HttpRequestParts request, Options options, ResponseListener listener) {
+		Call call = new Call(address, listener);
+		ClientConnection kept = kept(address, options.maxIdleMillis());
+		if (kept != null) {
+			call.connection = kept;
+			call.reused = true;
+			kept.send(request, call);
+			return call;
+		}
+		this.opened++;
+		ClientConnection.open(this.reactor, address, options.connectTimeout(), this.steadyMillis, this::forget,
+				(connection, failure) -> {
+					if (call.over) {
+						if (connection != null) {
+							connection.close();
+						}
+					}
+					else if (failure != null) {
+						call.over = true;
+						listener.onNotSent("cannot connect: " + failure.getMessage());
+					}
+					else {
+						call.connection = connection;
+						connection.send(request, call);
+					}
+				});
+		return call;
+	}
+
+	private ClientConnection kept(InetSocketAddress address, long maxIdleMillis) {
+		Deque<ClientConnection> connections = this.idle.get(address);
+		long now = this.steadyMillis.getAsLong();
+		while (connections != null && !connections.isEmpty()) {
+			ClientConnection newest = connections.pollLast();
+			if (newest.usable(now, maxIdleMillis)) {
+				return newest;
+			}
+			newest.close();
+		}
+		return null;
+	}
+
+	private void keep(InetSocketAddress address, ClientConnection connection) {
+		if (!connection.closed()) {
+			this.idle.computeIfAbsent(address, (key) -> new ArrayDeque<>()).addLast(connection);
+		}
+	}
+
+	private void forget(ClientConnection connection) {
+		this.idle.values().forEach((connections) -> connections.remove(connection));
+	}
+
+	/**
+	 * Closes the kept connections to a server.
+	 * @param address address of the server
+	 */
+	public void closeIdle(InetSocketAddress address) {
+		Deque<ClientConnection> connections = this.idle.remove(address);
+		if (connections != null) {
+			List<ClientConnection> all = new ArrayList<>(connections);
+			all.forEach(ClientConnection::close);
+		}
+	}
+
+	/**
+	 * Returns the number of connections opened so far.
+	 * @return the number
+	 */
+	public long opened() {
+		return this.opened;
+	}
+
+	/**
+	 * How to send a request. Immutable.
+	 *
+	 * @param connectTimeout longest wait for a new connection
+	 * @param maxIdleMillis longest idle time of a kept connection in milliseconds; 0 asks
+	 * for a new one
+	 */
+	public record Options(Duration connectTimeout, long maxIdleMillis) {
+
+	}
+
+	/**
+	 * A request under way. Confined to the thread of the event loop.
+	 */
+	public final class Call implements ResponseListener {
+
+		private final InetSocketAddress address;
+
+		private final ResponseListener listener;
+
+		private ClientConnection connection;
+
+		private boolean reused;
+
+		private boolean over;
+
+		private Call(InetSocketAddress address, ResponseListener listener) {
+			this.address = address;
+			this.listener = listener;
+		}
+
+		/**
+		 * Stops the request by closing its connection. The listener is not called again.
+		 */
+		public void cancel() {
+			this.over = true;
+			if (this.connection != null) {
+				this.connection.close();
+			}
+		}
+
+		/**
+		 * Returns whether any byte may have been sent.
+		 * @return true once a connection was there
+		 */
+		public boolean sent() {
+			return this.connection != null;
+		}
+
+		/**
+		 * Returns whether a kept connection was used.
+		 * @return true for a kept connection
+		 */
+		public boolean reused() {
+			return this.reused;
+		}
+
+		/**
+		 * Stops reading the response until {@link #resume()}.
+		 */
+		public void pause() {
+			if (this.connection != null) {
+				this.connection.pause();
+			}
+		}
+
+		/**
+		 * Reads on after {@link #pause()}.
+		 */
+		public void resume() {
+			if (this.connection != null) {
+				this.connection.resume();
+			}
+		}
+
+		@Override
+		public boolean accepts(HttpResponse response) {
+			return this.listener.accepts(response);
+		}
+
+		@Override
+		public void onHead(HttpResponse response) {
+			if (!this.over) {
+				this.listener.onHead(response);
+			}
+		}
+
+		@Override
+		public void onBody(byte[] bytes) {
+			if (!this.over) {
+				this.listener.onBody(bytes);
+			}
+		}
+
+		@Override
+		public void onComplete() {
+			if (!this.over) {
+				this.over = true;
+				keep(this.address, this.connection);
+				this.listener.onComplete();
+			}
+		}
+
+		@Override
+		public void onFailure(String reason) {
+			if (!this.over) {
+				this.over = true;
+				this.listener.onFailure(reason);
+			}
+		}
+
+		@Override
+		public void onNotSent(String reason) {
+			throw new IllegalStateException("a connection was there");
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/http/HttpMessageCodec.java
@@ -0,0 +1,113 @@
+package carawayswitch.http;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * HTTP/1.1 codec of one connection, between bytes of a socket and messages. Wraps a codec
+ * that does no I/O. A message that states both a length and chunks is malformed. Not safe
+ * for use by several threads.
+ */
+final class HttpMessageCodec {
+
+	private static final int MAX_CHUNK_BYTES = 64 * 1024;
+
+	private final EmbeddedChannel channel;
+
+	private HttpMessageCodec(ChannelHandler decoder, ChannelHandler encoder) {
+		this.channel = new EmbeddedChannel(decoder, encoder);
+	}
+
+	static HttpMessageCodec server(int maxHeaderBytes) {
+		return new HttpMessageCodec(new StrictRequestDecoder(config(maxHeaderBytes)), new HttpResponseEncoder());
+	}
+
+	static HttpMessageCodec client(int maxHeaderBytes) {
+		return new HttpMessageCodec(new HttpResponseDecoder(config(maxHeaderBytes)), new HttpRequestEncoder());
+	}
+
+	private static HttpDecoderConfig config(int maxHeaderBytes) {
+		return new HttpDecoderConfig().setMaxInitialLineLength(maxHeaderBytes)
+			.setMaxHeaderSize(maxHeaderBytes)
+			.setMaxChunkSize(MAX_CHUNK_BYTES);
+	}
+
+	/**
+	 * Decodes received bytes.
+	 * @param bytes the bytes
+	 * @return the parts of messages; the caller releases them
+	 */
+	List<HttpObject> decode(byte[] bytes) {
+		this.channel.writeInbound(Unpooled.wrappedBuffer(bytes));
+		return inbound();
+	}
+
+	/**
+	 * Decodes the orderly end of the received bytes, which ends a message that states no
+	 * length.
+	 * @return the remaining parts of messages; the caller releases them
+	 */
+	List<HttpObject> decodeEnd() {
+		this.channel.finish();
+		return inbound();
+	}
+
+	private List<HttpObject> inbound() {
+		List<HttpObject> parts = new ArrayList<>();
+		for (Object part = this.channel.readInbound(); part != null; part = this.channel.readInbound()) {
+			parts.add((HttpObject) part);
+		}
+		return parts;
+	}
+
+	/**
+	 * Encodes a part of a message.
+	 * @param part the part
+	 * @return the bytes
+	 */
+	byte[] encode(HttpObject part) {
+		this.channel.writeOutbound(part);
+		ByteBuf joined = Unpooled.buffer();
+		for (Object piece = this.channel.readOutbound(); piece != null; piece = this.channel.readOutbound()) {
+			joined.writeBytes((ByteBuf) piece);
+			ReferenceCountUtil.release(piece);
+		}
+		byte[] bytes = new byte[joined.readableBytes()];
+		joined.readBytes(bytes);
+		return bytes;
+	}
+
+	void release() {
+		this.channel.finishAndReleaseAll();
+	}
+
+	/**
+	 * Rejects requests whose framing may be read in two ways.
+	 */
+	private static final class StrictRequestDecoder extends HttpRequestDecoder {
+
+		StrictRequestDecoder(HttpDecoderConfig config) {
+			super(config);
+		}
+
+		@Override
+		protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+			throw new IllegalArgumentException("both Content-Length and Transfer-Encoding");
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/http/ReceivedRequest.java
@@ -0,0 +1,25 @@
+package carawayswitch.http;
+
+import io.netty.handler.codec.http.HttpHeaders;
+
+/**
+ * A request that was read completely. Immutable by convention.
+ *
+ * @param method HTTP method
+ * @param target path and query as received
+ * @param headers headers in the order received
+ * @param body body without transfer encoding
+ * @param arrivedAt steady time at which its last byte was read, in milliseconds
+ */
+public record ReceivedRequest(String method, String target, HttpHeaders headers, byte[] body, long arrivedAt) {
+
+	/**
+	 * Returns the path without its query.
+	 * @return the path
+	 */
+	public String path() {
+		int query = this.target.indexOf('?');
+		return (query < 0) ? this.target : this.target.substring(0, query);
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/http/ServerConnection.java
@@ -0,0 +1,391 @@
+package carawayswitch.http;
+
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.net.socket.tcp.ITcpSocket;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * Connection of a client. Reads requests one after another, hands each over when it is
+ * complete, and notices at any time that the client has gone. Invariants: one request is
+ * in progress at a time and gets at most one response; a response that is aborted is
+ * never ended like a complete one. Confined to the thread of its event loop.
+ */
+public final class ServerConnection {
+
+	/** Requests that a client may send ahead of their turn. */
+	private static final int MAX_PIPELINED = 16;
+
+	private static final byte[] EMPTY = new byte[0];
+
+	private final ITcpSocket socket;
+
+	private final Handler handler;
+
+	private final Supplier<RequestLimits> limits;
+
+	private final LongSupplier steadyMillis;
+
+	private final HttpMessageCodec codec;
+
+	private final Deque<ReceivedRequest> waiting = new ArrayDeque<>();
+
+	private HttpRequest head;
+
+	private ByteArrayOutputStream body;
+
+	private boolean rejecting;
+
+	private boolean active;
+
+	private boolean closeWhenDone;
+
+	private boolean clientKeepsAlive = true;
+
+	private boolean closed;
+
+	private long lastReadAt;
+
+	private long idleSince;
+
+	private long unwritten;
+
+	private boolean chunked;
+
+	/**
+	 * Creates a connection that is not started.
+	 * @param socket the accepted socket
+	 * @param handler receives requests
+	 * @param limits returns the limits in force
+	 * @param steadyMillis the steady clock in milliseconds
+	 */
+	public ServerConnection(ITcpSocket socket, Handler handler, Supplier<RequestLimits> limits,
+			LongSupplier steadyMillis) {
+		this.socket = socket;
+		this.handler = handler;
+		this.limits = limits;
+		this.steadyMillis = steadyMillis;
+		this.codec = HttpMessageCodec.server(limits.get().maxHeaderBytes());
+		this.idleSince = steadyMillis.getAsLong();
+		this.lastReadAt = this.idleSince;
+	}
+
+	/**
+	 * Starts to read.
+	 */
+	public void start() {
+		read();
+	}
+
+	private void read() {
+		this.socket.read().subscribe((buffer, failure) -> {
+			if (this.closed) {
+				if (buffer != null) {
+					buffer.recycle();
+				}
+				return;
+			}
+			if (failure != null || buffer == null) {
+				close();
+				return;
+			}
+			this.lastReadAt = this.steadyMillis.getAsLong();
+			for (HttpObject part : this.codec.decode(buffer.asArray())) {
+				onPart(part);
+				ReferenceCountUtil.release(part);
+			}
+			if (!this.closed) {
+				read();
+			}
+		});
+	}
+
+	private void onPart(HttpObject part) {
+		if (this.closed || this.rejecting) {
+			return;
+		}
+		DecoderResult result = part.decoderResult();
+		if (result.isFailure()) {
+			reject(statusOf(result.cause()));
+			return;
+		}
+		if (part instanceof HttpRequest request) {
+			this.head = request;
+			this.body = null;
+			if (HttpUtil.getContentLength(request, 0L) > this.limits.get().maxBodyBytes()) {
+				reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+				return;
+			}
+			if (HttpUtil.is100ContinueExpected(request) && !this.active) {
+				write(this.codec
+					.encode(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE)));
+			}
+		}
+		if (part instanceof HttpContent content && this.head != null) {
+			onContent(content);
+		}
+	}
+
+	private static HttpResponseStatus statusOf(Throwable cause) {
+		if (cause instanceof TooLongHttpHeaderException) {
+			return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
+		}
+		return (cause instanceof TooLongHttpLineException) ? HttpResponseStatus.REQUEST_URI_TOO_LONG
+				: HttpResponseStatus.BAD_REQUEST;
+	}
+
+	private void onContent(HttpContent content) {
+		int length = content.content().readableBytes();
+		if (length > 0) {
+			this.body = (this.body != null) ? this.body : new ByteArrayOutputStream(length);
+			if (this.body.size() + length > this.limits.get().maxBodyBytes()) {
+				reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
+				return;
+			}
+			byte[] bytes = new byte[length];
+			content.content().readBytes(bytes);
+			this.body.writeBytes(bytes);
+		}
+		if (content instanceof LastHttpContent) {
+			byte[] whole = (this.body != null) ? this.body.toByteArray() : EMPTY;
+			ReceivedRequest request = new ReceivedRequest(this.head.method().name(), this.head.uri(),
+					this.head.headers(), whole, this.lastReadAt);
+			this.clientKeepsAlive = HttpUtil.isKeepAlive(this.head);
+			this.head = null;
+			this.body = null;
+			this.waiting.add(request);
+			if (this.waiting.size() > MAX_PIPELINED) {
+				close();
+				return;
+			}
+			next();
+		}
+	}
+
+	private void next() {
+		if (!this.active && !this.closed && !this.waiting.isEmpty()) {
+			this.active = true;
+			this.handler.onRequest(this, this.waiting.poll());
+		}
+	}
+
+	private void reject(HttpResponseStatus status) {
+		this.rejecting = true;
+		this.closeWhenDone = true;
+		if (this.active) {
+			return;
+		}
+		this.handler.onRejected(this, status.code());
+		this.active = true;
+		respond(status.code(), new DefaultHttpHeaders(), EMPTY);
+	}
+
+	/**
+	 * Sends a whole response.
+	 * @param status status code
+	 * @param headers headers; framing headers are set here
+	 * @param bytes body
+	 */
+	public void respond(int status, HttpHeaders headers, byte[] bytes) {
+		if (this.closed) {
+			return;
+		}
+		headers.remove(HttpHeaderNames.TRANSFER_ENCODING);
+		headers.set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
+		setConnectionHeader(headers);
+		DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+				HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(bytes), headers, new DefaultHttpHeaders());
+		write(this.codec.encode(response));
+		done();
+	}
+
+	/**
+	 * Begins a response in chunks.
+	 * @param status status code
+	 * @param headers headers; framing headers are set here
+	 */
+	public void begin(int status, HttpHeaders headers) {
+		if (this.closed) {
+			return;
+		}
+		headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+		headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+		setConnectionHeader(headers);
+		this.chunked = true;
+		write(this.codec
+			.encode(new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers)));
+	}
+
+	/**
+	 * Sends a piece of a response that was begun.
+	 * @param bytes the piece
+	 */
+	public void piece(byte[] bytes) {
+		if (!this.closed && bytes.length > 0) {
+			write(this.codec.encode(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes))));
+		}
+	}
+
+	/**
+	 * Ends a response that was begun as complete.
+	 */
+	public void end() {
+		if (!this.closed) {
+			this.chunked = false;
+			write(this.codec.encode(LastHttpContent.EMPTY_LAST_CONTENT));
+			done();
+		}
+	}
+
+	private void setConnectionHeader(HttpHeaders headers) {
+		headers.remove(HttpHeaderNames.CONNECTION);
+		if (this.closeWhenDone || !this.clientKeepsAlive) {
+			headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+			this.closeWhenDone = true;
+		}
+	}
+
+	private void done() {
+		this.active = false;
+		this.idleSince = this.steadyMillis.getAsLong();
+		if (this.closeWhenDone) {
+			closeAfterWrites();
+		}
+		else {
+			next();
+		}
+	}
+
+	private void closeAfterWrites() {
+		if (this.unwritten == 0) {
+			close();
+		}
+	}
+
+	private void write(byte[] bytes) {
+		this.unwritten += bytes.length;
+		this.socket.write(ByteBuf.wrapForReading(bytes)).subscribe((done, failure) -> {
+			this.unwritten -= bytes.length;
+			if (failure != null) {
+				close();
+			}
+			else if (this.closeWhenDone && !this.active && !this.chunked) {
+				closeAfterWrites();
+			}
+		});
+	}
+
+	/**
+	 * Makes the next response the last one on this connection.
+	 */
+	public void closeAfterResponse() {
+		this.closeWhenDone = true;
+	}
+
+	/**
+	 * Closes the connection if no request is in progress or has begun to arrive.
+	 */
+	public void closeIfIdle() {
+		if (idle()) {
+			close();
+		}
+	}
+
+	/**
+	 * Enforces the time limits.
+	 * @param now steady time in milliseconds
+	 */
+	public void checkTimeouts(long now) {
+		RequestLimits current = this.limits.get();
+		if (this.head != null && now - this.lastReadAt > current.headerTimeoutMillis()) {
+			reject(HttpResponseStatus.REQUEST_TIMEOUT);
+		}
+		else if (idle() && now - Math.max(this.idleSince, this.lastReadAt) > current.idleTimeoutMillis()) {
+			close();
+		}
+	}
+
+	private boolean idle() {
+		return !this.active && this.head == null && this.waiting.isEmpty() && this.unwritten == 0;
+	}
+
+	/**
+	 * Returns whether a request is in progress.
+	 * @return true from the hand-over of a request to the end of its response
+	 */
+	public boolean active() {
+		return this.active;
+	}
+
+	/**
+	 * Returns the bytes that the client has not accepted yet.
+	 * @return the number of bytes
+	 */
+	public long unwritten() {
+		return this.unwritten;
+	}
+
+	/**
+	 * Closes the connection at once. A response in progress stays incomplete.
+	 */
+	public void close() {
+		if (this.closed) {
+			return;
+		}
+		this.closed = true;
+		this.socket.close();
+		this.codec.release();
+		this.handler.onClosed(this);
+	}
+
+	/**
+	 * Receives what happens on connections of clients.
+	 */
+	public interface Handler {
+
+		/**
+		 * Handles a request.
+		 * @param connection the connection that awaits the response
+		 * @param request the request
+		 */
+		void onRequest(ServerConnection connection, ReceivedRequest request);
+
+		/**
+		 * Handles input that was answered with an error and not handed over.
+		 * @param connection the connection
+		 * @param status status code of the answer
+		 */
+		void onRejected(ServerConnection connection, int status);
+
+		/**
+		 * Handles the end of a connection, with or without a request in progress.
+		 * @param connection the connection
+		 */
+		void onClosed(ServerConnection connection);
+
+	}
+
+}
--- a/src/main/java/carawayswitch/log/LogEvent.java
+++ b/src/main/java/carawayswitch/log/LogEvent.java
@@ -71,6 +71,48 @@
 	/** Audit entries were dropped because the log was down for too long. */
 	AUDIT_LOST(Level.WARN),
 
+	/** The store of the platform does not answer or refuses. */
+	STORE_LOST(Level.WARN),
+
+	/** The store of the platform answers again. */
+	STORE_REGAINED(Level.INFO),
+
+	/** A record of the store could not be decoded. */
+	RECORD_UNREADABLE(Level.WARN),
+
+	/** A version of the routes is in force. */
+	ROUTES_CHANGED(Level.INFO),
+
+	/** An endpoint has come, is leaving or is gone. */
+	ENDPOINT_CHANGED(Level.INFO),
+
+	/** Another host decides on the places of a pool. */
+	POOL_OWNER_CHANGED(Level.INFO),
+
+	/** The owner of a pool has granted or refused a place. */
+	PLACE_DECIDED(Level.INFO),
+
+	/** A request was sent to an endpoint. */
+	ATTEMPT_SENT(Level.INFO),
+
+	/** An attempt at an endpoint has ended. */
+	ATTEMPT_ENDED(Level.INFO),
+
+	/** A gateway has answered a request or given it up. */
+	GATEWAY_ANSWERED(Level.INFO),
+
+	/** Readiness for clients has changed. */
+	READINESS_CHANGED(Level.INFO),
+
+	/** The settings file was read again. */
+	SETTINGS_RELOADED(Level.INFO),
+
+	/** The time of day was stepped against the steady clock. */
+	CLOCK_STEPPED(Level.WARN),
+
+	/** Lines were left out to bound the volume of the log. */
+	LOG_OMITTED(Level.INFO),
+
 	/** A defect. */
 	INTERNAL_ERROR(Level.ERROR);
 
--- a/src/main/java/carawayswitch/metrics/Metric.java
+++ b/src/main/java/carawayswitch/metrics/Metric.java
@@ -55,6 +55,21 @@
 	/** Bytes between hosts. */
 	PEER_BYTES("bytes sent to other hosts"),
 
+	/** Version of the configuration in force. */
+	CONFIGURATION_VERSION("version of the configuration in force"),
+
+	/** Time since the configuration was confirmed. */
+	CONFIGURATION_AGE("time since the configuration was confirmed in milliseconds"),
+
+	/** Requests that wait for a place in pools that this host owns. */
+	PLACES_WAITING("requests that wait for a place in owned pools"),
+
+	/** Requests that run in pools that this host owns. */
+	PLACES_RUNNING("requests that run in owned pools"),
+
+	/** Connections that this host has opened to endpoints and the store. */
+	ENDPOINT_CONNECTIONS("connections opened to endpoints and the store"),
+
 	/** Audit entries that were dropped. */
 	AUDIT_LOST("audit entries that were dropped");
 
--- a/src/main/java/carawayswitch/outcome/ErrorKind.java
+++ b/src/main/java/carawayswitch/outcome/ErrorKind.java
@@ -58,6 +58,24 @@
 	/** The host is stopping. */
 	HOST_STOPPING(503, Outcome.NOT_RUN, true, "the host is stopping"),
 
+	/** The host knows no configuration yet. */
+	CONFIGURATION_UNKNOWN(503, Outcome.NOT_RUN, true, "the host knows no configuration yet"),
+
+	/** The host could not confirm its configuration for too long. */
+	CONFIGURATION_STALE(503, Outcome.NOT_RUN, true, "the host could not confirm its configuration"),
+
+	/** No place at an engine in time. */
+	NO_PLACE(503, Outcome.NOT_RUN, true, "no engine has a place in time"),
+
+	/** Every endpoint that was asked stated that it did not run the request. */
+	ENDPOINTS_REFUSED(503, Outcome.NOT_RUN, true, "no endpoint accepted the request"),
+
+	/** The time for the request ended before it was sent to an endpoint. */
+	TIMED_OUT_WAITING(503, Outcome.NOT_RUN, true, "the time for the request ended while it waited"),
+
+	/** The endpoint's answer could not be used. */
+	BAD_ANSWER(502, Outcome.UNKNOWN, false, "the endpoint's answer could not be used"),
+
 	/** The endpoint could not be reached. */
 	ENDPOINT_UNREACHABLE(502, Outcome.NOT_RUN, true, "the endpoint could not be reached"),
 
--- /dev/null
+++ b/src/main/java/carawayswitch/platform/ConfigurationDecoder.java
@@ -0,0 +1,97 @@
+package carawayswitch.platform;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.control.Try;
+
+import carawayswitch.http.Json;
+import carawayswitch.http.RequestLimits;
+import carawayswitch.route.OrganisationPolicy;
+import carawayswitch.route.RequestKind;
+import carawayswitch.route.Route;
+import carawayswitch.route.RouteTable;
+import carawayswitch.route.ServicePolicy;
+
+/**
+ * Decodes the configuration that operators write. Stateless.
+ */
+final class ConfigurationDecoder {
+
+	private ConfigurationDecoder() {
+	}
+
+	static Try<RouteTable> decode(byte[] bytes) {
+		return Json.parse(bytes).mapTry(ConfigurationDecoder::table);
+	}
+
+	private static RouteTable table(JsonNode tree) {
+		JsonNode organisations = tree.path("tenants");
+		boolean keysInUse = organisations.isArray() && !organisations.isEmpty();
+		List<Route> routes = new ArrayList<>();
+		tree.path("routes").forEach((route) -> routes.add(route(route, keysInUse)));
+		List<ServicePolicy> services = new ArrayList<>();
+		tree.path("services").forEach((service) -> services.add(service(service)));
+		Map<String, OrganisationPolicy> byKey = new HashMap<>();
+		for (JsonNode organisation : organisations) {
+			OrganisationPolicy policy = organisation(organisation);
+			organisation.path("api-keys").forEach((key) -> byKey.put(key.asText(), policy));
+		}
+		return new RouteTable(tree.path("version").asLong(), routes, services, byKey, keysInUse,
+				limits(tree.path("limits")));
+	}
+
+	private static Route route(JsonNode route, boolean keysInUse) {
+		List<Route.WeightedService> services = new ArrayList<>();
+		for (JsonNode part : route.path("traffic-split")) {
+			services.add(new Route.WeightedService(part.path("service").asText(), part.path("weight").asInt()));
+		}
+		if (services.isEmpty()) {
+			services.add(new Route.WeightedService(route.path("service").asText(), 1));
+		}
+		long timeout = route.path("timeout-ms").asLong();
+		return new Route(route.path("name").asText(), route.path("host").asText().toLowerCase(Locale.ROOT),
+				route.path("path-prefix").asText(), List.copyOf(services), kind(route.path("kind").asText()), timeout,
+				route.path("target-latency-ms").asLong(timeout), Math.max(1, route.path("max-attempts").asInt(1)),
+				route.path("priority").asInt(), keysInUse && !route.path("auth-exempt").asBoolean(),
+				route.path("stream-resume").asBoolean(), route.path("gap-aim-ms").asLong());
+	}
+
+	private static RequestKind kind(String word) {
+		return switch (word) {
+			case "idempotent" -> RequestKind.IDEMPOTENT;
+			case "streaming" -> RequestKind.STREAMING;
+			default -> RequestKind.NON_IDEMPOTENT;
+		};
+	}
+
+	private static ServicePolicy service(JsonNode service) {
+		JsonNode engine = service.path("engine");
+		return new ServicePolicy(service.path("name").asText(), service.path("max-connections").asInt(),
+				engine.isObject(), engine.path("slots").asInt(), engine.path("kv-token-capacity").asLong(),
+				Math.max(1, engine.path("stride").asInt(1)));
+	}
+
+	private static OrganisationPolicy organisation(JsonNode organisation) {
+		Integer priority = organisation.has("priority") ? organisation.get("priority").asInt() : null;
+		double perSecond = organisation.path("rate-per-s").asDouble();
+		// The rate counts requests, or tokens where the unit says so.
+		boolean tokens = organisation.path("unit").asText().equals("tokens");
+		OrganisationPolicy.Cap cap = (perSecond > 0) ? new OrganisationPolicy.Cap(perSecond,
+				organisation.path("burst").asDouble(), tokens, organisation.path("plain-tokens").asInt()) : null;
+		return new OrganisationPolicy(organisation.path("name").asText(), priority, cap);
+	}
+
+	private static RequestLimits limits(JsonNode limits) {
+		RequestLimits standard = RequestLimits.DEFAULT;
+		return new RequestLimits(limits.path("max-header-bytes").asInt(standard.maxHeaderBytes()),
+				limits.path("max-body-bytes").asInt(standard.maxBodyBytes()),
+				limits.path("header-timeout-ms").asLong(standard.headerTimeoutMillis()),
+				limits.path("idle-timeout-ms").asLong(standard.idleTimeoutMillis()));
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/platform/StoreClient.java
@@ -0,0 +1,325 @@
+package carawayswitch.platform;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.BiFunction;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
+import io.activej.reactor.nio.NioReactor;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.vavr.control.Try;
+
+import carawayswitch.gateway.BeliefSource;
+import carawayswitch.gateway.HostDirectory;
+import carawayswitch.gateway.HostRecord;
+import carawayswitch.gateway.Platform;
+import carawayswitch.http.ConnectionPool;
+import carawayswitch.http.HttpRequestParts;
+import carawayswitch.http.Json;
+import carawayswitch.http.ResponseListener;
+import carawayswitch.log.LogEvent;
+import carawayswitch.route.EndpointEntry;
+import carawayswitch.route.RouteTable;
+
+/**
+ * Client of the platform's store. Each call has a time limit, after which its connection
+ * is closed, since the store answers nothing more on a connection that lost an answer.
+ * Confined to the thread of its event loop.
+ */
+public final class StoreClient implements Platform, HostDirectory {
+
+	private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
+
+	/**
+	 * Longest wait for an answer beyond the wait that a call asks for, in milliseconds.
+	 */
+	private static final long ANSWER_MILLIS = 1500;
+
+	/** Kept connections may be idle for as long as hosts pause between two calls. */
+	private static final long MAX_IDLE_MILLIS = 10_000;
+
+	private static final int OK = 200;
+
+	private static final int GONE = 410;
+
+	private static final int MAX_PAGES = 200;
+
+	private static final String CONFIGURATION_TOPIC = "keyed.op";
+
+	private static final String CONFIGURATION_KEY = "config";
+
+	private static final String ENDPOINT_TOPIC = "keyed.servers";
+
+	/** Topic of our own records in spite of its name. */
+	private static final String HOST_TOPIC = "keyed.status";
+
+	private static final String HOST_KEY_PREFIX = "host/";
+
+	private final NioReactor reactor;
+
+	private final ConnectionPool pool;
+
+	private final InetSocketAddress address;
+
+	/**
+	 * Creates a client.
+	 * @param reactor the event loop
+	 * @param pool connections
+	 * @param address address of the store
+	 */
+	public StoreClient(NioReactor reactor, ConnectionPool pool, InetSocketAddress address) {
+		this.reactor = reactor;
+		this.pool = pool;
+		this.address = address;
+	}
+
+	@Override
+	public BeliefSource<RouteTable> configurations() {
+		return new TopicSource<>(CONFIGURATION_TOPIC, (key, bytes) -> key.equals(CONFIGURATION_KEY)
+				? ConfigurationDecoder.decode(bytes).map(Optional::of) : Try.success(Optional.empty()));
+	}
+
+	@Override
+	public HostDirectory directory() {
+		return this;
+	}
+
+	@Override
+	public BeliefSource<EndpointEntry> endpoints() {
+		return new TopicSource<>(ENDPOINT_TOPIC, (key, bytes) -> EndpointDecoder.decode(key, bytes).map(Optional::of));
+	}
+
+	@Override
+	public BeliefSource<HostRecord> records() {
+		return new TopicSource<>(HOST_TOPIC, (key, bytes) -> key.startsWith(HOST_KEY_PREFIX)
+				? hostRecord(bytes).map(Optional::of) : Try.success(Optional.empty()));
+	}
+
+	private static Try<HostRecord> hostRecord(byte[] bytes) {
+		return Json.parse(bytes)
+			.map((tree) -> new HostRecord(tree.path("host").asText(), tree.path("address").asText(),
+					tree.path("zone").asText(), tree.path("incarnation").asLong()));
+	}
+
+	@Override
+	public Promise<Void> publish(HostRecord record) {
+		ObjectNode value = Json.object()
+			.put("host", record.host())
+			.put("address", record.address())
+			.put("zone", record.zone())
+			.put("incarnation", record.incarnation());
+		return append(HOST_TOPIC, keyed(HOST_KEY_PREFIX + record.host(), Json.bytes(value)));
+	}
+
+	@Override
+	public Promise<Void> remove(String host) {
+		return append(HOST_TOPIC, keyed(HOST_KEY_PREFIX + host, new byte[0]));
+	}
+
+	// A record is its length, the length of the key in one byte, the key and the value.
+	private static byte[] keyed(String key, byte[] value) {
+		byte[] name = key.getBytes(StandardCharsets.UTF_8);
+		return ByteBuffer.allocate(Integer.BYTES + 1 + name.length + value.length)
+			.putInt(1 + name.length + value.length)
+			.put((byte) name.length)
+			.put(name)
+			.put(value)
+			.array();
+	}
+
+	private Promise<Void> append(String topic, byte[] records) {
+		return call("POST", "/log-append?topic=" + topic + "&part=0", records, 0).map((answer) -> {
+			if (answer.status() != OK) {
+				throw new PlatformException("append answered with status " + answer.status());
+			}
+			return null;
+		});
+	}
+
+	private Promise<Answer> call(String method, String target, byte[] body, long waitMillis) {
+		SettablePromise<Answer> result = new SettablePromise<>();
+		HttpHeaders headers = new DefaultHttpHeaders().set("Host",
+				this.address.getHostString() + ":" + this.address.getPort());
+		ConnectionPool.Call[] call = new ConnectionPool.Call[1];
+		call[0] = this.pool.send(this.address, new HttpRequestParts(method, target, headers, body),
+				new ConnectionPool.Options(CONNECT_TIMEOUT, MAX_IDLE_MILLIS), new WholeAnswer(result));
+		this.reactor.delayBackground(waitMillis + ANSWER_MILLIS, () -> {
+			if (!result.isComplete()) {
+				call[0].cancel();
+				result.setException(new PlatformException("no answer within " + (waitMillis + ANSWER_MILLIS) + " ms"));
+			}
+		});
+		return result;
+	}
+
+	/**
+	 * An answer of the store. Immutable.
+	 */
+	private record Answer(int status, byte[] body) {
+
+	}
+
+	/**
+	 * Collects one answer. Confined to the thread of the event loop.
+	 */
+	private static final class WholeAnswer implements ResponseListener {
+
+		private final SettablePromise<Answer> result;
+
+		private final java.io.ByteArrayOutputStream body = new java.io.ByteArrayOutputStream();
+
+		private int status;
+
+		WholeAnswer(SettablePromise<Answer> result) {
+			this.result = result;
+		}
+
+		@Override
+		public void onHead(HttpResponse response) {
+			this.status = response.status().code();
+		}
+
+		@Override
+		public void onBody(byte[] bytes) {
+			this.body.writeBytes(bytes);
+		}
+
+		@Override
+		public void onComplete() {
+			this.result.trySet(new Answer(this.status, this.body.toByteArray()));
+		}
+
+		@Override
+		public void onFailure(String reason) {
+			this.result.trySetException(new PlatformException(reason));
+		}
+
+		@Override
+		public void onNotSent(String reason) {
+			this.result.trySetException(new PlatformException(reason));
+		}
+
+	}
+
+	/**
+	 * Records of one keyed topic. Confined to the thread of the event loop.
+	 *
+	 * @param <T> what a record says
+	 */
+	private final class TopicSource<T> implements BeliefSource<T> {
+
+		private final String topic;
+
+		private final BiFunction<String, byte[], Try<Optional<T>>> decoder;
+
+		TopicSource(String topic, BiFunction<String, byte[], Try<Optional<T>>> decoder) {
+			this.topic = topic;
+			this.decoder = decoder;
+		}
+
+		@Override
+		public Promise<Page<T>> newest() {
+			return newestPage("", new LinkedHashMap<>(), -1, 0);
+		}
+
+		// Reads page after page. They are no snapshot: what changes meanwhile is read
+		// again
+		// from the offset that the first page ends at.
+		private Promise<Page<T>> newestPage(String afterKey, Map<String, byte[]> values, long firstEnd, int page) {
+			String after = afterKey.isEmpty() ? ""
+					: "&after=" + java.net.URLEncoder.encode(afterKey, StandardCharsets.UTF_8);
+			return call("GET", "/log-newest?topic=" + this.topic + "&part=0" + after, new byte[0], 0).then((answer) -> {
+				JsonNode tree = tree(answer);
+				String last = afterKey;
+				for (JsonNode item : tree.path("items")) {
+					last = item.path("key").asText();
+					values.put(last, Base64.getDecoder().decode(item.path("value").asText()));
+				}
+				long end = (firstEnd >= 0) ? firstEnd : tree.path("end-offset").asLong();
+				boolean more = tree.path("has-more").asBoolean() && !last.equals(afterKey) && page < MAX_PAGES;
+				return more ? newestPage(last, values, end, page + 1) : Promise.of(page(values, end));
+			});
+		}
+
+		private static JsonNode tree(Answer answer) throws PlatformException {
+			if (answer.status() != OK) {
+				throw new PlatformException("read answered with status " + answer.status());
+			}
+			return Json.parse(answer.body()).getOrElseThrow(() -> new PlatformException("malformed answer"));
+		}
+
+		@Override
+		public Promise<Page<T>> after(long offset, long waitMillis) {
+			String wait = (waitMillis > 0) ? "&wait-ms=" + waitMillis : "";
+			return call("GET", "/log-read?topic=" + this.topic + "&part=0&from=" + offset + wait, new byte[0],
+					waitMillis)
+				.map((answer) -> {
+					if (answer.status() == GONE) {
+						return Page.gone();
+					}
+					if (answer.status() != OK) {
+						throw new PlatformException("read answered with status " + answer.status());
+					}
+					return records(answer.body(), offset);
+				});
+		}
+
+		private Page<T> records(byte[] body, long offset) {
+			ByteBuffer buffer = ByteBuffer.wrap(body);
+			// The end of the log and the first offset that is kept precede the records.
+			buffer.getLong();
+			buffer.getLong();
+			Map<String, byte[]> values = new LinkedHashMap<>();
+			long next = offset;
+			while (buffer.remaining() >= Integer.BYTES) {
+				byte[] record = new byte[buffer.getInt()];
+				buffer.get(record);
+				next++;
+				int keyLength = (record.length > 0) ? record[0] & 0xff : 0;
+				if (record.length >= 1 + keyLength) {
+					String key = new String(record, 1, keyLength, StandardCharsets.UTF_8);
+					values.remove(key);
+					values.put(key, java.util.Arrays.copyOfRange(record, 1 + keyLength, record.length));
+				}
+			}
+			return page(values, next);
+		}
+
+		private Page<T> page(Map<String, byte[]> values, long next) {
+			Map<String, Optional<T>> entries = new LinkedHashMap<>();
+			List<String> unreadable = new ArrayList<>();
+			values.forEach((key, value) -> {
+				if (value.length == 0) {
+					entries.put(key, Optional.empty());
+					return;
+				}
+				Try<Optional<T>> decoded = this.decoder.apply(key, value);
+				if (decoded.isFailure()) {
+					unreadable.add(key);
+					entries.put(key, Optional.empty());
+					LogEvent.RECORD_UNREADABLE.log("topic", this.topic, "key", key, "reason",
+							decoded.getCause().getMessage());
+				}
+				else {
+					decoded.get().ifPresent((entry) -> entries.put(key, Optional.of(entry)));
+				}
+			});
+			return new Page<>(entries, unreadable.size(), next, false);
+		}
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/route/Route.java
@@ -0,0 +1,61 @@
+package carawayswitch.route;
+
+import java.util.List;
+
+/**
+ * Treatment of the requests of one host name and path prefix. Immutable.
+ *
+ * @param name name of the route
+ * @param hostName lower-case host name
+ * @param pathPrefix prefix of the path
+ * @param services services with their weights; the weights sum to more than 0
+ * @param kind what may be repeated
+ * @param timeoutMillis longest time until the end of the answer in milliseconds
+ * @param objectiveMillis time until the answer, or its first event, that is on time, in
+ * milliseconds
+ * @param maxAttempts most endpoints on which one request may run
+ * @param priority rank; 0 is the most urgent
+ * @param keyRequired true if a request needs an API key
+ * @param resumable true if a stream may be resumed at another endpoint
+ * @param maxGapMillis longest pause between two events that is on time, in milliseconds
+ */
+public record Route(String name, String hostName, String pathPrefix, List<WeightedService> services, RequestKind kind,
+		long timeoutMillis, long objectiveMillis, int maxAttempts, int priority, boolean keyRequired, boolean resumable,
+		long maxGapMillis) {
+
+	/**
+	 * Returns whether a request that may have run may be sent again.
+	 * @return true if it may run once more
+	 */
+	public boolean repeatable() {
+		return this.kind.repeatable(this.resumable);
+	}
+
+	/**
+	 * Chooses a service by weight.
+	 * @param hash uniformly distributed number that belongs to the request
+	 * @return name of the service
+	 */
+	public String service(int hash) {
+		int total = this.services.stream().mapToInt(WeightedService::weight).sum();
+		int point = Math.floorMod(hash, Math.max(1, total));
+		for (WeightedService each : this.services) {
+			point -= each.weight();
+			if (point < 0) {
+				return each.service();
+			}
+		}
+		return this.services.get(0).service();
+	}
+
+	/**
+	 * A service and its share of a route's requests. Immutable.
+	 *
+	 * @param service name of the service
+	 * @param weight share relative to the other services
+	 */
+	public record WeightedService(String service, int weight) {
+
+	}
+
+}
--- /dev/null
+++ b/src/main/java/carawayswitch/time/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Clocks.
+ */
+package carawayswitch.time;
