Gateway: a request's wish to close does not cut off the ones before it; tests of beliefs, places and connections

Cause: the connection kept one flag for 'keep alive', set by the newest request read; a client that sends its last request ahead lost the answer to it. Found by a test of two requests on one connection, which failed first.

Change: the flag belongs to the request.

--- a/src/main/java/carawayswitch/http/ReceivedRequest.java
+++ b/src/main/java/carawayswitch/http/ReceivedRequest.java
@@ -9,9 +9,11 @@
  * @param target path and query as received
  * @param headers headers in the order received
  * @param body body without transfer encoding
+ * @param keepAlive true if the client may send another request on the connection
  * @param arrivedAt steady time at which its last byte was read, in milliseconds
  */
-public record ReceivedRequest(String method, String target, HttpHeaders headers, byte[] body, long arrivedAt) {
+public record ReceivedRequest(String method, String target, HttpHeaders headers, byte[] body, boolean keepAlive,
+		long arrivedAt) {
 
 	/**
 	 * Returns the path without its query.
--- a/src/main/java/carawayswitch/http/ServerConnection.java
+++ b/src/main/java/carawayswitch/http/ServerConnection.java
@@ -172,8 +172,7 @@
 		if (content instanceof LastHttpContent) {
 			byte[] whole = (this.body != null) ? this.body.toByteArray() : EMPTY;
 			ReceivedRequest request = new ReceivedRequest(this.head.method().name(), this.head.uri(),
-					this.head.headers(), whole, this.lastReadAt);
-			this.clientKeepsAlive = HttpUtil.isKeepAlive(this.head);
+					this.head.headers(), whole, HttpUtil.isKeepAlive(this.head), this.lastReadAt);
 			this.head = null;
 			this.body = null;
 			this.waiting.add(request);
@@ -188,7 +187,9 @@
 	private void next() {
 		if (!this.active && !this.closed && !this.waiting.isEmpty()) {
 			this.active = true;
-			this.handler.onRequest(this, this.waiting.poll());
+			ReceivedRequest request = this.waiting.poll();
+			this.clientKeepsAlive = request.keepAlive();
+			this.handler.onRequest(this, request);
 		}
 	}
 
--- /dev/null
+++ b/src/test/java/carawayswitch/gateway/AdmissionTests.java
@@ -0,0 +1,62 @@
+package carawayswitch.gateway;
+
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import carawayswitch.http.RequestLimits;
+import carawayswitch.outcome.ErrorKind;
+import carawayswitch.route.OrganisationPolicy;
+import carawayswitch.route.RequestKind;
+import carawayswitch.route.Route;
+import carawayswitch.route.RouteTable;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests that a host says only what its beliefs allow.
+ */
+class AdmissionTests {
+
+	private static final GatewaySettings.Bounds BOUNDS = new GatewaySettings.Bounds(2000, 2000, true, 5000, 8000, 0.2,
+			54, 10_000, 8000, 0.1, 140_000);
+
+	private final RouteTable table = new RouteTable(1,
+			List.of(route("keyed", "/k/", true), route("open", "/o/", false)), List.of(),
+			Map.of("secret", new OrganisationPolicy("yard", null, null)), true, RequestLimits.DEFAULT);
+
+	private static Route route(String name, String prefix, boolean keyRequired) {
+		return new Route(name, "a.example", prefix, List.of(new Route.WeightedService("s", 1)),
+				RequestKind.NON_IDEMPOTENT, 1000, 100, 1, 0, keyRequired, false, 0);
+	}
+
+	private static ClientAttempt attempt(String id, String key) {
+		return new ClientAttempt(id, "a.example", key, 1000, false, 0, 0, 0, "", 0);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "/k/1, secret, 0, ''", "/k/1, secret, 4600, ''", "/k/1, secret, 4601, CONFIGURATION_STALE",
+			"/k/1, wrong, 0, UNAUTHENTICATED", "/k/1, wrong, 4000, UNAUTHENTICATED",
+			"/k/1, wrong, 4001, CONFIGURATION_STALE", "/k/1, , 0, UNAUTHENTICATED", "/o/1, , 0, ''",
+			"/o/1, , 999999, ''", "/x/1, secret, 0, NOT_FOUND", "/x/1, secret, 4001, CONFIGURATION_STALE" })
+	void verdictFollowsRouteKeyAndAge(String path, String key, long age, String expected) {
+		var verdict = Admission.decide(this.table, age, BOUNDS, attempt("id", key), path);
+		assertThat(verdict.isRight() ? "" : verdict.getLeft().name()).isEqualTo(expected);
+	}
+
+	@Test
+	void hostWithoutConfigurationClaimsNothing() {
+		assertThat(Admission.decide(null, 0, BOUNDS, attempt("id", "secret"), "/k/1").getLeft())
+			.isEqualTo(ErrorKind.CONFIGURATION_UNKNOWN);
+	}
+
+	@Test
+	void requestWithoutIdIsMalformed() {
+		assertThat(Admission.decide(this.table, 0, BOUNDS, attempt("", "secret"), "/k/1").getLeft())
+			.isEqualTo(ErrorKind.BAD_REQUEST);
+	}
+
+}
--- /dev/null
+++ b/src/test/java/carawayswitch/gateway/EndpointAnswerTests.java
@@ -0,0 +1,25 @@
+package carawayswitch.gateway;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of what heads of answers mean.
+ */
+class EndpointAnswerTests {
+
+	@ParameterizedTest
+	@CsvSource({ "200, false, true, false, SUCCESS", "200, false, false, false, UNUSABLE",
+			"200, false, true, true, UNUSABLE", "500, false, true, false, FAILURE",
+			"500, false, false, false, UNUSABLE", "503, true, false, false, NOT_RUN",
+			"503, false, true, false, UNUSABLE", "429, false, true, false, UNUSABLE",
+			"408, false, true, false, UNUSABLE", "421, false, false, false, NOT_RUN",
+			"504, false, true, false, FAILURE", "404, false, true, false, FAILURE" })
+	void statusSealAndEncodingDecide(int status, boolean notRun, boolean sealed, boolean encoded,
+			EndpointAnswer.Verdict verdict) {
+		assertThat(new EndpointAnswer(status, notRun, sealed, encoded, false).verdict()).isEqualTo(verdict);
+	}
+
+}
--- /dev/null
+++ b/src/test/java/carawayswitch/http/ServerConnectionTests.java
@@ -0,0 +1,163 @@
+package carawayswitch.http;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import io.activej.eventloop.Eventloop;
+import io.activej.net.SimpleServer;
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import carawayswitch.time.MonotonicClock;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of what clients may send and when their leaving is noticed, on real sockets.
+ */
+class ServerConnectionTests implements ServerConnection.Handler {
+
+	private static final RequestLimits LIMITS = new RequestLimits(1000, 100, 200, 60_000);
+
+	private final BlockingQueue<ReceivedRequest> requests = new LinkedBlockingQueue<>();
+
+	private final BlockingQueue<ServerConnection> connections = new LinkedBlockingQueue<>();
+
+	private final BlockingQueue<ServerConnection> closed = new LinkedBlockingQueue<>();
+
+	private Eventloop loop;
+
+	private SimpleServer server;
+
+	@BeforeEach
+	void start() {
+		this.loop = Eventloop.builder().withTimeProvider(MonotonicClock::millis).build();
+		this.loop.keepAlive(true);
+		new Thread(this.loop, "loop").start();
+		this.loop.submit(() -> {
+			this.server = SimpleServer
+				.builder(this.loop,
+						(socket) -> new ServerConnection(socket, this, () -> LIMITS, MonotonicClock::millis).start())
+				.withListenAddress(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+				.build();
+			this.server.listen();
+		}).join();
+	}
+
+	@AfterEach
+	void stop() {
+		this.loop.execute(() -> {
+			this.server.close();
+			this.loop.keepAlive(false);
+			this.loop.breakEventloop();
+		});
+	}
+
+	@Override
+	public void onRequest(ServerConnection connection, ReceivedRequest request) {
+		this.requests.add(request);
+		this.connections.add(connection);
+	}
+
+	@Override
+	public void onRejected(ServerConnection connection, int status) {
+	}
+
+	@Override
+	public void onClosed(ServerConnection connection) {
+		this.closed.add(connection);
+	}
+
+	private Socket connect() throws IOException {
+		InetSocketAddress address = this.server.getBoundAddresses().get(0);
+		Socket socket = new Socket(address.getAddress(), address.getPort());
+		socket.setSoTimeout(10_000);
+		return socket;
+	}
+
+	private static void write(Socket socket, String text) throws IOException {
+		socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+	}
+
+	private static String readAll(Socket socket) throws IOException {
+		return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+	}
+
+	private ServerConnection connection() throws InterruptedException {
+		return this.connections.poll(10, TimeUnit.SECONDS);
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello",
+			"POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n" })
+	void bodiesWithALengthOrInChunksAreReadWhole(String text) throws Exception {
+		write(connect(), text);
+		ReceivedRequest request = this.requests.poll(10, TimeUnit.SECONDS);
+		assertThat(new String(request.body(), StandardCharsets.ISO_8859_1)).isEqualTo("hello");
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "'Content-Length: 5\r\nTransfer-Encoding: chunked', 400",
+			"'Content-Length: 5\r\nContent-Length: 6', 400", "'Content-Length: 101', 413", "'Content-Length: -1', 400",
+			"'Transfer-Encoding: chunked, x', 400" })
+	void ambiguousOrTooLargeFramingIsRejectedAndTheConnectionCloses(String framing, int status) throws Exception {
+		Socket socket = connect();
+		write(socket,
+				"POST /p HTTP/1.1\r\nHost: h\r\n" + framing + "\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n");
+		assertThat(readAll(socket)).startsWith("HTTP/1.1 " + status);
+		assertThat(this.requests).isEmpty();
+	}
+
+	@Test
+	void headersBeyondTheLimitAreRejected() throws Exception {
+		Socket socket = connect();
+		write(socket, "GET / HTTP/1.1\r\nHost: h\r\nX: " + "y".repeat(1200) + "\r\n\r\n");
+		assertThat(readAll(socket)).startsWith("HTTP/1.1 431");
+	}
+
+	@Test
+	void leavingClientIsNoticedWhileItsRequestIsInProgress() throws Exception {
+		Socket socket = connect();
+		write(socket, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+		ServerConnection connection = connection();
+		socket.close();
+		assertThat(this.closed.poll(10, TimeUnit.SECONDS)).isSameAs(connection);
+	}
+
+	@Test
+	void streamThatIsGivenUpDoesNotLookComplete() throws Exception {
+		Socket socket = connect();
+		write(socket, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+		ServerConnection connection = connection();
+		this.loop.submit(() -> {
+			connection.begin(200, new DefaultHttpHeaders());
+			connection.piece("data: a\n\n".getBytes(StandardCharsets.ISO_8859_1));
+			connection.close();
+		}).join();
+		assertThat(readAll(socket)).endsWith("9\r\ndata: a\n\n\r\n").doesNotContain("0\r\n\r\n");
+	}
+
+	@Test
+	void requestsOnOneConnectionAreServedInTurn() throws Exception {
+		Socket socket = connect();
+		write(socket, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+		ServerConnection connection = connection();
+		assertThat(this.requests).hasSize(1);
+		this.loop.submit(() -> connection.respond(200, new DefaultHttpHeaders(), new byte[0])).join();
+		connection();
+		this.loop.submit(() -> connection.respond(201, new DefaultHttpHeaders(), new byte[0])).join();
+		assertThat(readAll(socket)).containsSubsequence("200 OK", "201 Created", "connection: close");
+	}
+
+}
--- /dev/null
+++ b/src/test/java/carawayswitch/route/ConfirmationTests.java
@@ -0,0 +1,41 @@
+package carawayswitch.route;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of the age of a belief while clocks stand still or jump.
+ */
+class ConfirmationTests {
+
+	private final Confirmation confirmed = new Confirmation(10_000, 1_000_000);
+
+	@ParameterizedTest
+	@CsvSource({ "1200, 1200, 1200", "1200, 3600, 3600", "10, 3510, 3510", "3500, 3400, 3500" })
+	void ageIsTheLargerOfBothClocks(long steadyPassed, long wallPassed, long age) {
+		assertThat(this.confirmed.age(10_000 + steadyPassed, 1_000_000 + wallPassed)).isEqualTo(age);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "100, -2300", "5000, 3000", "600, 50" })
+	void timeOfDayThatWentBackVoidsTheConfirmation(long steadyPassed, long wallPassed) {
+		assertThat(this.confirmed.age(10_000 + steadyPassed, 1_000_000 + wallPassed))
+			.isEqualTo(Confirmation.UNKNOWN_AGE);
+	}
+
+	@Test
+	void nothingConfirmedHasNoAge() {
+		assertThat(Confirmation.NONE.age(0, 0)).isEqualTo(Confirmation.UNKNOWN_AGE);
+	}
+
+	@Test
+	void newerOneWins() {
+		Confirmation later = new Confirmation(11_000, 990_000);
+		assertThat(this.confirmed.newer(later)).isEqualTo(later);
+		assertThat(later.newer(this.confirmed)).isEqualTo(later);
+	}
+
+}
--- /dev/null
+++ b/src/test/java/carawayswitch/route/RouteTableTests.java
@@ -0,0 +1,58 @@
+package carawayswitch.route;
+
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import carawayswitch.http.RequestLimits;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of the choice of routes and services.
+ */
+class RouteTableTests {
+
+	private static Route route(String name, String host, String prefix, Route.WeightedService... services) {
+		return new Route(name, host, prefix, List.of(services), RequestKind.IDEMPOTENT, 1000, 100, 2, 0, false, false,
+				0);
+	}
+
+	private final RouteTable table = new RouteTable(7,
+			List.of(route("root", "a.example", "/"), route("short", "a.example", "/x/"),
+					route("long", "a.example", "/x/y/"), route("other", "b.example", "/x/")),
+			List.of(), Map.of(), false, RequestLimits.DEFAULT);
+
+	@ParameterizedTest
+	@CsvSource({ "a.example, /x/y/z, long", "a.example, /x/y/, long", "a.example, /x/y, short",
+			"A.Example:8080, /x/1, short", "a.example, /xx/1, root", "a.example, /, root", "b.example, /x/2, other" })
+	void longestPrefixOfTheHostWins(String host, String path, String name) {
+		assertThat(this.table.match(host, path)).map(Route::name).contains(name);
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "b.example, /", "b.example, /x", "c.example, /x/", "'', /x/" })
+	void unknownHostOrPathHasNoRoute(String host, String path) {
+		assertThat(this.table.match(host, path)).isEmpty();
+	}
+
+	@Test
+	void missingHostHasNoRoute() {
+		assertThat(this.table.match(null, "/x/")).isEmpty();
+	}
+
+	@Test
+	void servicesAreChosenByWeight() {
+		Route split = route("split", "a", "/", new Route.WeightedService("s1", 90),
+				new Route.WeightedService("s2", 10));
+		int second = 0;
+		for (int hash = -500; hash < 500; hash++) {
+			second += split.service(hash).equals("s2") ? 1 : 0;
+		}
+		assertThat(second).isEqualTo(100);
+	}
+
+}
