Pool: early refusal in overload, places for late work only where one is in sight

Change: demand that cannot be on time is refused when it comes while recent demand exceeds the engines; what waits and can no longer be on time is refused then, not at the end of its patience; the advised wait in overload is as long as the client allows; the wait is estimated from what goes before by urgency and organisation and from the speeds of the engines; less urgent work that waits gets an eighth of what more urgent work gets.

Ruled out: idle slots (none).

--- a/src/main/java/carawayswitch/gateway/Exchange.java
+++ b/src/main/java/carawayswitch/gateway/Exchange.java
@@ -209,7 +209,7 @@
 		PlaceRequest wish = new PlaceRequest(placementId(), this.service, this.urgency, this.route.name(),
 				organisationName(), this.attempt.promptTokens(), Math.min(expected, this.attempt.maxOutputTokens()),
 				this.route.objectiveMillis() - passed, wait, this.context.settings.get().zone(),
-				List.copyOf(this.tried), units);
+				List.copyOf(this.tried), units, this.expiresAt - now, returnKey());
 		this.placement = this.context.placements.ask(wish, new Placement.Listener() {
 			@Override
 			public void onGranted(String endpoint) {
@@ -224,6 +224,12 @@
 		}, now);
 	}
 
+	// A refused request comes back under another id: the rest of it stays the same.
+	private String returnKey() {
+		return Integer.toHexString(java.util.Objects.hash(this.request.target(), organisationName(),
+				this.attempt.session(), this.attempt.promptTokens(), this.attempt.maxOutputTokens()));
+	}
+
 	private int capUnits() {
 		OrganisationPolicy.Cap cap = (this.organisation != null) ? this.organisation.tokenCap() : null;
 		if (cap == null) {
--- a/src/main/java/carawayswitch/gateway/Placement.java
+++ b/src/main/java/carawayswitch/gateway/Placement.java
@@ -61,7 +61,8 @@
 		PlaceRequest first = this.request;
 		return new PlaceRequest(first.requestId(), first.service(), first.urgency(), first.kind(), first.organisation(),
 				first.promptTokens(), first.outputTokens(), first.objectiveMillis() - passed,
-				first.patienceMillis() - passed, first.zone(), first.excluded(), first.capUnits());
+				first.patienceMillis() - passed, first.zone(), first.excluded(), first.capUnits(),
+				first.clientMillis() - passed, first.returnKey());
 	}
 
 	Listener listener() {
--- a/src/main/java/carawayswitch/gateway/PoolOwner.java
+++ b/src/main/java/carawayswitch/gateway/PoolOwner.java
@@ -156,7 +156,7 @@
 				PressurePolicy.WAIT, request.promptTokens(), 0, 0, request.outputTokens(), 0, now,
 				now + request.patienceMillis());
 		return new PoolDemand(work, host, request.zone(), now + request.objectiveMillis(),
-				new HashSet<>(request.excluded()));
+				new HashSet<>(request.excluded()), now + request.clientMillis(), request.returnKey());
 	}
 
 	/**
--- a/src/main/java/carawayswitch/schedule/EngineSpeed.java
+++ b/src/main/java/carawayswitch/schedule/EngineSpeed.java
@@ -49,6 +49,10 @@
 		return nominal(promptTokens) * this.promptFactor;
 	}
 
+	double tokenMillis() {
+		return this.outputTokenMillis;
+	}
+
 	double streamMillis(int tokens, int running, int slots) {
 		double crowding = 1 - BATCH_SHARE + BATCH_SHARE * running / Math.max(1, slots);
 		return tokens * this.outputTokenMillis * crowding;
--- a/src/main/java/carawayswitch/schedule/FairQueue.java
+++ b/src/main/java/carawayswitch/schedule/FairQueue.java
@@ -80,6 +80,10 @@
 		return work;
 	}
 
+	boolean contains(String id) {
+		return this.byId.containsKey(id);
+	}
+
 	Work remove(String id) {
 		Work work = this.byId.remove(id);
 		if (work == null) {
--- a/src/main/java/carawayswitch/schedule/PoolDemand.java
+++ b/src/main/java/carawayswitch/schedule/PoolDemand.java
@@ -11,8 +11,12 @@
  * @param zone availability zone of that host
  * @param objectiveAt time until which its first event is on time
  * @param excluded ids of engines that must not be chosen
+ * @param clientDeadlineAt time after which the client does not come back
+ * @param returnKey what a request that was refused has in common with its return, or
+ * empty
  */
-public record PoolDemand(Work work, String host, String zone, long objectiveAt, Set<String> excluded) {
+public record PoolDemand(Work work, String host, String zone, long objectiveAt, Set<String> excluded,
+		long clientDeadlineAt, String returnKey) {
 
 	String id() {
 		return this.work.id();
--- a/src/main/java/carawayswitch/schedule/PoolScheduler.java
+++ b/src/main/java/carawayswitch/schedule/PoolScheduler.java
@@ -4,7 +4,6 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -60,12 +59,30 @@
 	static final double REMOTE_ZONE_MILLIS = 4;
 
 	/**
-	 * Occupation of a slot in milliseconds that is assumed of a kind before it is known.
+	 * Time in milliseconds over which the demand of an urgency is averaged; bursts last
+	 * seconds.
 	 */
-	static final double INITIAL_OCCUPATION_MILLIS = 1000;
+	static final double DEMAND_MILLIS = 1500;
 
-	/** Weight of the newest sample of an occupation. */
-	static final double OCCUPATION_SMOOTHING = 0.1;
+	/**
+	 * Part of the engines' time that work of an urgency gets for each part that more
+	 * urgent work gets while both wait, so that no kind starves.
+	 */
+	static final double LOWER_SHARE = 0.12;
+
+	/** Largest credit of an urgency, in milliseconds of a slot. */
+	static final double MAX_CREDIT_MILLIS = 3000;
+
+	/**
+	 * Largest advised wait as a part of the time that the client has left; clients ignore
+	 * advice beyond a third of it.
+	 */
+	static final double RETRY_SHARE = 0.32;
+
+	/** Time in milliseconds for which a refused request is remembered. */
+	static final long RETURN_MILLIS = 12_000;
+
+	private static final int MAX_REFUSED = 10_000;
 
 	/** Shortest advised wait in milliseconds. */
 	static final long MIN_RETRY_MILLIS = 100;
@@ -83,7 +100,22 @@
 
 	private final Map<String, Running> running = new HashMap<>();
 
-	private final Map<String, Double> occupation = new HashMap<>();
+	/** Requests that were refused, by return key, with the time of the refusal. */
+	private final Map<String, Long> refused = new LinkedHashMap<>() {
+		@Override
+		protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+			return size() > MAX_REFUSED;
+		}
+	};
+
+	/** Ids of waiting work that was refused before and has come back. */
+	private final Set<String> returned = new HashSet<>();
+
+	private final double[] demandMillis = new double[Tier.URGENCIES];
+
+	private final double[] credit = new double[Tier.URGENCIES];
+
+	private long demandAt;
 
 	private final long[] urgencySeenAt = new long[Tier.URGENCIES];
 
@@ -110,7 +142,9 @@
 
 	/**
 	 * Offers a demand. Its decision comes from {@link #decide}. One that is known already
-	 * is ignored.
+	 * is ignored. A demand that can be on time waits in turn. One that cannot waits only
+	 * where a place is in sight, and is refused at once otherwise, unless it was refused
+	 * before and has come back.
 	 * @param demand the demand
 	 * @param now time in milliseconds
 	 */
@@ -120,46 +154,138 @@
 			return;
 		}
 		this.urgencySeenAt[work.urgency()] = now;
-		double wait = waitMillis(work.urgency(), now);
 		if (usableSlots(now) == 0) {
-			this.refusals.add(new PoolDecision(demand, null, EndpointHealth.FIRST_PAUSE_MILLIS, "no_engine"));
+			refuse(demand, EndpointHealth.FIRST_PAUSE_MILLIS, "no_engine", now);
+			return;
+		}
+		boolean returned = returned(demand, now);
+		if (!returned) {
+			decayDemand(now);
+			this.demandMillis[work.urgency()] += occupation(work, now);
 		}
-		else if (wait > (work.deadlineMillis() - now) * MAX_WAIT_SHARE) {
-			this.refusals.add(new PoolDecision(demand, null, retryAfter(wait), "wait_" + (long) wait));
+		double wait = waitMillis(work, this.queue, now);
+		double lateWait = wait + waitMillis(work, this.late, now);
+		double patience = (work.deadlineMillis() - now) * MAX_WAIT_SHARE;
+		boolean onTime = now + wait + fastestFirstEvent(work, now) <= demand.objectiveAt();
+		if (onTime) {
+			admit(this.queue, demand);
+		}
+		else if (lateWait < patience && (returned || !overloaded(work.urgency(), now))) {
+			admit(this.late, demand);
 		}
 		else {
-			this.queue.add(work);
-			this.waiting.put(demand.id(), demand);
+			refuse(demand, retryAfter(demand, lateWait, now), "wait_" + (long) wait + "_late_" + (long) lateWait, now);
+		}
+		if (returned) {
+			this.returned.add(demand.id());
 		}
 	}
 
-	private static long retryAfter(double wait) {
-		return Math.max(MIN_RETRY_MILLIS, (long) wait);
+	private void admit(FairQueue to, PoolDemand demand) {
+		to.add(demand.work());
+		this.waiting.put(demand.id(), demand);
 	}
 
-	/**
-	 * Returns the time until work of an urgency would start if it came now.
-	 * @param urgency the urgency
-	 * @param now time in milliseconds
-	 * @return time in milliseconds
-	 */
-	double waitMillis(int urgency, long now) {
-		int slots = usableSlots(now);
-		if (slots == 0) {
-			return INITIAL_OCCUPATION_MILLIS;
+	private boolean overloaded(int urgency, long now) {
+		return demandShare(urgency, now) >= 1;
+	}
+
+	// While demand exceeds what the engines can do, a client that may come back once has
+	// the best chance late.
+	private long retryAfter(PoolDemand demand, double wait, long now) {
+		double left = Math.max(0, demand.clientDeadlineAt() - now) * RETRY_SHARE;
+		double wanted = overloaded(demand.work().urgency(), now) ? left : wait;
+		return Math.max(MIN_RETRY_MILLIS, (long) Math.min(left, wanted));
+	}
+
+	private void refuse(PoolDemand demand, long retryAfterMillis, String reason, long now) {
+		if (!demand.returnKey().isEmpty()) {
+			this.refused.put(demand.returnKey(), now);
+		}
+		this.refusals.add(new PoolDecision(demand, null, retryAfterMillis, reason));
+	}
+
+	private boolean returned(PoolDemand demand, long now) {
+		Long refusedAt = this.refused.remove(demand.returnKey());
+		return refusedAt != null && now - refusedAt < RETURN_MILLIS;
+	}
+
+	private void decayDemand(long now) {
+		double factor = Math.exp(-Math.max(0, now - this.demandAt) / DEMAND_MILLIS);
+		for (int i = 0; i < this.demandMillis.length; i++) {
+			this.demandMillis[i] *= factor;
+		}
+		this.demandAt = now;
+	}
+
+	// Part of the engines' time that recent work of this urgency and above asks for.
+	private double demandShare(int urgency, long now) {
+		decayDemand(now);
+		double sum = 0;
+		for (int i = urgency; i < this.demandMillis.length; i++) {
+			sum += this.demandMillis[i];
+		}
+		return sum / DEMAND_MILLIS / Math.max(1, effectiveSlots(now));
+	}
+
+	// Time that the work occupies a slot of the fastest engine when its slots are taken.
+	private double occupation(Work work, long now) {
+		EngineLoad fastest = fastest(now);
+		return (fastest != null) ? fastest.speed.firstEventMillis(work.promptTokens())
+				+ fastest.speed.streamMillis(work.expectedTokens(), 1, 1) : 0;
+	}
+
+	private EngineLoad fastest(long now) {
+		EngineLoad fastest = null;
+		for (EngineLoad load : this.engines.values()) {
+			if (load.usable(now) && (fastest == null || load.speed.tokenMillis() < fastest.speed.tokenMillis())) {
+				fastest = load;
+			}
 		}
-		if (freeSlots(now) > reserve(urgency, now) && this.queue.highestUrgency() < urgency) {
+		return fastest;
+	}
+
+	private double fastestFirstEvent(Work work, long now) {
+		EngineLoad fastest = fastest(now);
+		return (fastest != null) ? fastest.speed.firstEventMillis(work.promptTokens()) : 0;
+	}
+
+	// Slots of the fastest engine that could do what all usable engines can do.
+	private double effectiveSlots(long now) {
+		EngineLoad fastest = fastest(now);
+		double slots = 0;
+		for (EngineLoad load : this.engines.values()) {
+			slots += load.usable(now)
+					? load.engine.slots() * fastest.speed.tokenMillis() / Math.max(0.001, load.speed.tokenMillis()) : 0;
+		}
+		return slots;
+	}
+
+	// Time until work would start if all work of a queue that goes before it were served
+	// first. Other organisations go before it no more than its own does.
+	private double waitMillis(Work work, FairQueue before, long now) {
+		int urgency = work.urgency();
+		if (before == this.queue && this.waiting.isEmpty() && freeSlots(now) > reserve(urgency, now)) {
 			return 0;
 		}
 		double ahead = 0;
+		Map<String, Double> byOrganisation = new HashMap<>();
 		for (PoolDemand demand : this.waiting.values()) {
-			ahead += (demand.work().urgency() >= urgency) ? occupation(demand.work().kind()) : 0;
+			Work other = demand.work();
+			if (before.contains(other.id()) && other.urgency() > urgency) {
+				ahead += occupation(other, now);
+			}
+			else if (before.contains(other.id()) && other.urgency() == urgency) {
+				byOrganisation.merge(other.organisation(), occupation(other, now), Double::sum);
+			}
 		}
-		return ahead / slots;
-	}
-
-	private double occupation(String kind) {
-		return this.occupation.getOrDefault(kind, INITIAL_OCCUPATION_MILLIS);
+		double own = byOrganisation.getOrDefault(work.organisation(), 0.0) + occupation(work, now);
+		for (Map.Entry<String, Double> entry : byOrganisation.entrySet()) {
+			boolean same = entry.getKey().equals(work.organisation());
+			ahead += same ? entry.getValue() : Math.min(entry.getValue(), own);
+		}
+		double higher = (urgency < Tier.HIGHEST_URGENCY) ? demandShare(urgency + 1, now) : 0;
+		return ahead / Math.max(1, effectiveSlots(now)) / Math.max(LOWER_SHARE, 1 - higher);
 	}
 
 	private int usableSlots(long now) {
@@ -194,9 +320,10 @@
 	 */
 	public List<PoolDecision> decide(long now) {
 		suspectOverdue(now);
+		expire(now);
 		List<PoolDecision> decisions = new ArrayList<>(this.refusals);
 		this.refusals.clear();
-		expire(now, decisions);
+		startCredited(now, decisions);
 		for (int urgency = Tier.HIGHEST_URGENCY; urgency >= 0; urgency--) {
 			if (!startAll(this.queue, urgency, now, decisions) || !startAll(this.late, urgency, now, decisions)) {
 				break;
@@ -205,25 +332,51 @@
 		return decisions;
 	}
 
+	// Starts work that more urgent work has kept waiting beyond its share.
+	private void startCredited(long now, List<PoolDecision> decisions) {
+		for (int urgency = Tier.HIGHEST_URGENCY - 1; urgency >= 0; urgency--) {
+			Work work = this.queue.peek(urgency);
+			while (work != null && this.credit[urgency] >= occupation(work, now)
+					&& startNext(this.queue, work, now, decisions)) {
+				work = this.queue.peek(urgency);
+			}
+		}
+	}
+
 	// Starts waiting work of one urgency. Returns true if no more of it waits, so that
 	// less urgent work may start.
 	private boolean startAll(FairQueue from, int urgency, long now, List<PoolDecision> decisions) {
 		for (Work work = from.peek(urgency); work != null; work = from.peek(urgency)) {
-			if (freeSlots(now) <= reserve(urgency, now)) {
+			if (freeSlots(now) <= reserve(urgency, now) || !startNext(from, work, now, decisions)) {
 				return false;
 			}
-			PoolDemand demand = this.waiting.get(work.id());
-			EngineLoad best = choose(demand, now);
-			if (best == null) {
-				return false;
-			}
-			from.poll(urgency);
-			this.waiting.remove(work.id());
-			decisions.add(start(demand, best, now));
 		}
 		return true;
 	}
 
+	private boolean startNext(FairQueue from, Work work, long now, List<PoolDecision> decisions) {
+		PoolDemand demand = this.waiting.get(work.id());
+		EngineLoad best = choose(demand, now);
+		if (best == null) {
+			return false;
+		}
+		from.poll(work.urgency());
+		forget(work.id());
+		moveCredit(work, occupation(work, now));
+		decisions.add(start(demand, best, now));
+		return true;
+	}
+
+	// Work that starts pays for itself and earns credit for less urgent work that waits.
+	private void moveCredit(Work work, double occupation) {
+		this.credit[work.urgency()] = Math.max(0, this.credit[work.urgency()] - occupation);
+		for (int lower = 0; lower < work.urgency(); lower++) {
+			if (this.queue.peek(lower) != null) {
+				this.credit[lower] = Math.min(MAX_CREDIT_MILLIS, this.credit[lower] + occupation * LOWER_SHARE);
+			}
+		}
+	}
+
 	private EngineLoad choose(PoolDemand demand, long now) {
 		EngineLoad best = null;
 		double bestCost = Double.MAX_VALUE;
@@ -256,31 +409,30 @@
 				"running_" + load.running.size() + "_expected_" + (long) expected);
 	}
 
-	private void expire(long now, List<PoolDecision> decisions) {
-		if (this.waiting.isEmpty()) {
-			return;
-		}
-		double fastest = this.engines.values()
-			.stream()
-			.filter((load) -> load.usable(now))
-			.mapToDouble((load) -> load.speed.firstEventMillis(0))
-			.min()
-			.orElse(0);
-		for (Iterator<PoolDemand> all = this.waiting.values().iterator(); all.hasNext();) {
-			PoolDemand demand = all.next();
-			if (now >= demand.work().deadlineMillis()) {
-				all.remove();
-				this.queue.remove(demand.id());
-				this.late.remove(demand.id());
-				decisions.add(new PoolDecision(demand, null, retryAfter(waitMillis(demand.work().urgency(), now)),
-						"waited_too_long"));
+	private void expire(long now) {
+		for (PoolDemand demand : List.copyOf(this.waiting.values())) {
+			Work work = demand.work();
+			boolean hopeless = this.late.contains(work.id()) && !this.returned.contains(work.id())
+					&& overloaded(work.urgency(), now);
+			if (now >= work.deadlineMillis() || hopeless) {
+				long advised = retryAfter(demand, MIN_RETRY_MILLIS, now);
+				forget(work.id());
+				refuse(demand, advised, hopeless ? "late_in_overload" : "waited_too_long", now);
 			}
-			else if (now + fastest > demand.objectiveAt() && this.queue.remove(demand.id()) != null) {
-				this.late.add(demand.work());
+			else if (now + fastestFirstEvent(work, now) > demand.objectiveAt()
+					&& this.queue.remove(work.id()) != null) {
+				this.late.add(work);
 			}
 		}
 	}
 
+	private void forget(String id) {
+		this.waiting.remove(id);
+		this.queue.remove(id);
+		this.late.remove(id);
+		this.returned.remove(id);
+	}
+
 	private void suspectOverdue(long now) {
 		for (EngineLoad load : this.engines.values()) {
 			for (Running attempt : load.running.values()) {
@@ -329,11 +481,6 @@
 				this.engines.remove(attempt.engine);
 			}
 		}
-		if (result == AttemptResult.ANSWERED) {
-			double sample = now - attempt.startedAt;
-			this.occupation.merge(attempt.demand.work().kind(), sample,
-					(known, newest) -> known + OCCUPATION_SMOOTHING * (newest - known));
-		}
 	}
 
 	/**
@@ -341,9 +488,7 @@
 	 * @param id id of the work
 	 */
 	public void withdraw(String id) {
-		this.waiting.remove(id);
-		this.queue.remove(id);
-		this.late.remove(id);
+		forget(id);
 		Running attempt = this.running.remove(id);
 		if (attempt != null && this.engines.containsKey(attempt.engine)) {
 			this.engines.get(attempt.engine).running.remove(id);
--- a/src/test/java/carawayswitch/schedule/PoolSchedulerTests.java
+++ b/src/test/java/carawayswitch/schedule/PoolSchedulerTests.java
@@ -35,7 +35,7 @@
 	private PoolDemand demand(int urgency, String organisation, long now, long objective, long patience) {
 		Work work = new Work("w" + this.ids++, urgency, "kind" + urgency, 1, organisation, 1, PressurePolicy.WAIT, 600,
 				0, 0, 100, 0, now, now + patience);
-		return new PoolDemand(work, "host", "a", now + objective, Set.of());
+		return new PoolDemand(work, "host", "a", now + objective, Set.of(), now + 15_000, "");
 	}
 
 	private void engines(String... ids) {
