Gateway: stand-ins of store and endpoints, tests on real sockets, requests wait for a host that has just started

The archive of classes held only those of a start without a store. A host that becomes owner of the pools handed out whole buckets of the caps, since every host keeps buckets from the first configuration on.

Tests: 29 on real sockets (kinds, headers, refusals, unknown ends, resuming, leaving endpoints, reused addresses, removed keys, a store that is silent, busy or resets, dropped history, planned stop, killed hosts, clients that leave), caps over changes of the owner.

--- a/src/main/java/carawayswitch/cli/GatewayCommand.java
+++ b/src/main/java/carawayswitch/cli/GatewayCommand.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
-import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
@@ -14,11 +13,11 @@
 
 import carawayswitch.gateway.GatewayHost;
 import carawayswitch.gateway.GatewaySettings;
-import carawayswitch.gateway.WarmUp;
 import carawayswitch.log.LogEvent;
 import carawayswitch.platform.BootFile;
 import carawayswitch.platform.PlatformWireFormat;
 import carawayswitch.platform.StoreClient;
+import carawayswitch.standin.WarmUp;
 
 /**
  * Runs a gateway host until it is told to stop. Stateless.
@@ -61,15 +60,14 @@
 			.addOption(CommonOptions.value(METRICS_PORT, "PORT",
 					"Port for metrics on the internal address; 0 serves none. Default: 0."))
 			.addOption(CommonOptions.flag(WARM_UP,
-					"Starts a host without a platform, asks it once and exits. For class archives."));
+					"Serves a request of each kind with stand-ins and exits. For class archives."));
 	}
 
 	@Override
 	public ExitCode run(CommandLine line, PrintStream out) throws Exception {
 		System.setProperty("tinylog.writer.stream", "out");
 		if (line.hasOption(WARM_UP)) {
-			WarmUp.run(new PlatformWireFormat(),
-					(reactor, pool) -> new StoreClient(reactor, pool, new InetSocketAddress("127.0.0.1", 1)));
+			WarmUp.run();
 			return ExitCode.OK;
 		}
 		String path = line.getOptionValue("config", System.getenv(BootFile.PATH_VARIABLE));
--- a/src/main/java/carawayswitch/gateway/Exchange.java
+++ b/src/main/java/carawayswitch/gateway/Exchange.java
@@ -90,6 +90,14 @@
 	 */
 	private static final long STREAMS_UNTIL_MILLIS = 3000;
 
+	/**
+	 * Time in milliseconds for which a request waits for a host that has just started to
+	 * learn its configuration; a store that answers needs less.
+	 */
+	private static final long START_WAIT_MILLIS = 1000;
+
+	private static final long START_CHECK_MILLIS = 5;
+
 	private final GatewayContext context;
 
 	private final ServerConnection client;
@@ -143,6 +151,14 @@
 	}
 
 	void start(long now) {
+		if (!this.context.informed() && now - this.request.arrivedAt() < START_WAIT_MILLIS) {
+			this.context.reactor.delay(START_CHECK_MILLIS, () -> {
+				if (!this.over) {
+					start(Clocks.steadyMillis());
+				}
+			});
+			return;
+		}
 		RouteTable table = this.context.routes.get();
 		Either<ErrorKind, Admission.Admitted> admitted = Admission.decide(table, this.context.configurationAge(),
 				this.context.bounds(), this.attempt, this.request.path());
--- a/src/main/java/carawayswitch/gateway/FrontServer.java
+++ b/src/main/java/carawayswitch/gateway/FrontServer.java
@@ -39,13 +39,14 @@
 		this.context = context;
 	}
 
-	void listen(InetSocketAddress address) throws IOException {
+	InetSocketAddress listen(InetSocketAddress address) throws IOException {
 		this.server = SimpleServer.builder(this.context.reactor, this::accept)
 			.withListenAddress(address)
 			.withServerSocketSettings(ServerSocketSettings.create(BACKLOG))
 			.build();
 		this.server.listen();
 		sweep();
+		return this.server.getBoundAddresses().get(0);
 	}
 
 	private void accept(ITcpSocket socket) {
--- a/src/main/java/carawayswitch/gateway/GatewayContext.java
+++ b/src/main/java/carawayswitch/gateway/GatewayContext.java
@@ -53,6 +53,9 @@
 
 	GatewayPeers peers;
 
+	/** Whether the entries of endpoints have been read once. */
+	boolean endpointsKnown;
+
 	/** Steady time at which the planned stop began, or a negative number. */
 	long stoppingSince = -1;
 
@@ -85,6 +88,10 @@
 				(name) -> new RetryShare(bounds.retryRatio(), bounds.retryExtra(), bounds.retryWindowMillis()));
 	}
 
+	boolean informed() {
+		return this.routes.get() != null && this.endpointsKnown;
+	}
+
 	boolean stopping() {
 		return this.stoppingSince >= 0;
 	}
--- a/src/main/java/carawayswitch/gateway/GatewayHost.java
+++ b/src/main/java/carawayswitch/gateway/GatewayHost.java
@@ -86,7 +86,7 @@
 
 	private final GatewayContext context;
 
-	private final HostRecord self;
+	private HostRecord self;
 
 	private final Platform platform;
 
@@ -104,9 +104,11 @@
 
 	private final CompletableFuture<Void> stopped = new CompletableFuture<>();
 
-	private boolean ready;
+	private InetSocketAddress frontAddress;
+
+	private InetSocketAddress readinessAddress;
 
-	private boolean endpointsKnown;
+	private boolean ready;
 
 	private long clockDifference = Clocks.wallMillis() - Clocks.steadyMillis();
 
@@ -118,9 +120,7 @@
 		Placements placements = new Placements(loop, log, settings.bounds().capSlack());
 		this.context = new GatewayContext(loop, settings, wire, pool, placements, log, new HostMetrics());
 		this.platform = platforms.apply(loop, pool);
-		this.self = new HostRecord(settings.host(),
-				settings.internal().getHostString() + ":" + settings.internal().getPort(), settings.zone(),
-				Clocks.wallMillis());
+		this.self = new HostRecord(settings.host(), "", settings.zone(), Clocks.wallMillis());
 		this.peers = new GatewayPeers(loop, this.self, settings.clusterName(), log, placements);
 		this.context.peers = this.peers;
 		this.front = new FrontServer(this.context);
@@ -166,10 +166,11 @@
 
 	private void listen(int metricsPort) throws IOException {
 		GatewaySettings settings = this.context.settings.get();
-		this.peers.start(settings.internal());
+		this.self = this.peers.start(settings.internal());
 		this.context.placements.start(this.peers);
-		this.front.listen(settings.front());
-		new StatusServer(this.loop, (path) -> new StatusServer.Answer(ready() ? OK : UNAVAILABLE, ""))
+		this.frontAddress = this.front.listen(settings.front());
+		this.readinessAddress = new StatusServer(this.loop,
+				(path) -> new StatusServer.Answer(ready() ? OK : UNAVAILABLE, ""))
 			.listen(settings.readiness());
 		if (metricsPort > 0) {
 			new StatusServer(this.loop, this::metricsPage)
@@ -227,7 +228,7 @@
 	}
 
 	private void onEndpoints(BeliefFollower.Update<EndpointEntry> update) {
-		this.endpointsKnown = true;
+		this.context.endpointsKnown = true;
 		this.endpointBeliefs.update(update.entries(), update.whole(), update.outageMillis(), Clocks.steadyMillis());
 		swapEndpoints();
 	}
@@ -285,7 +286,7 @@
 		RouteTable table = this.context.routes.get();
 		boolean confirmed = table != null && (!table.keysInUse()
 				|| Admission.keysConfirmed(this.context.configurationAge(), this.context.bounds()));
-		boolean now = confirmed && this.endpointsKnown && !this.context.stopping();
+		boolean now = confirmed && this.context.endpointsKnown && !this.context.stopping();
 		if (now != this.ready) {
 			this.ready = now;
 			this.context.log.write(LogEvent.READINESS_CHANGED, "ready", now, "configuration_age_ms",
@@ -294,6 +295,35 @@
 		return now;
 	}
 
+	/**
+	 * Returns the address for clients.
+	 * @return the address that the host listens on
+	 */
+	public InetSocketAddress frontAddress() {
+		return this.frontAddress;
+	}
+
+	/**
+	 * Returns the address for readiness questions.
+	 * @return the address that the host listens on
+	 */
+	public InetSocketAddress readinessAddress() {
+		return this.readinessAddress;
+	}
+
+	/**
+	 * Ends the host at once, as if its process were killed. For tests.
+	 */
+	public void kill() {
+		this.loop.execute(() -> {
+			if (this.loop.getSelector() != null) {
+				this.loop.getSelector().keys().forEach((key) -> this.loop.closeChannel(key.channel(), key));
+			}
+			this.loop.keepAlive(false);
+			this.loop.breakEventloop();
+		});
+	}
+
 	/**
 	 * Takes over settings that may change while a host runs.
 	 * @param settings the new settings
--- a/src/main/java/carawayswitch/gateway/GatewayPeers.java
+++ b/src/main/java/carawayswitch/gateway/GatewayPeers.java
@@ -47,7 +47,7 @@
 
 	private final NioReactor reactor;
 
-	private final HostRecord self;
+	private HostRecord self;
 
 	private final PeerTransport transport;
 
@@ -73,9 +73,18 @@
 				new PeerTransport.Times(BEAT_MILLIS, SILENCE_MILLIS), this::address, this);
 	}
 
-	void start(InetSocketAddress address) throws IOException {
-		this.transport.listen(address);
+	/**
+	 * Starts to listen.
+	 * @param address the address; port 0 lets the system choose one
+	 * @return the record of this host with the address that it listens on
+	 * @throws IOException if the address cannot be bound
+	 */
+	HostRecord start(InetSocketAddress address) throws IOException {
+		InetSocketAddress bound = this.transport.listen(address);
+		this.self = new HostRecord(this.self.host(), bound.getAddress().getHostAddress() + ":" + bound.getPort(),
+				this.self.zone(), this.self.incarnation());
 		beat();
+		return this.self;
 	}
 
 	private String address(String host) {
--- a/src/main/java/carawayswitch/gateway/Placements.java
+++ b/src/main/java/carawayswitch/gateway/Placements.java
@@ -249,7 +249,10 @@
 		if (!this.owner.equals(before) || lost.contains(this.owner)) {
 			this.log.write(LogEvent.POOL_OWNER_CHANGED, "before", before, "after", this.owner, "waiting_here",
 					this.own.waitingCount(), "running_here", this.own.runningCount());
-			if (!ownsPools()) {
+			if (ownsPools()) {
+				this.own.begin(now);
+			}
+			else {
 				this.own.forget();
 			}
 			moveToOwner(now);
--- a/src/main/java/carawayswitch/gateway/PoolOwner.java
+++ b/src/main/java/carawayswitch/gateway/PoolOwner.java
@@ -78,9 +78,14 @@
 		this.endpoints = newEndpoints;
 		this.schedulers.forEach((service, scheduler) -> scheduler.engines(engines(service)));
 		if (newRoutes != null) {
-			this.caps.forEach((name, bucket) -> newRoutes.organisationNamed(name)
-				.map(OrganisationPolicy::tokenCap)
-				.ifPresent((cap) -> bucket.change(cap.perSecond(), cap.burst() + burstSlack(), now)));
+			newRoutes.organisations().forEach((organisation) -> changeCap(organisation, now));
+		}
+	}
+
+	private void changeCap(OrganisationPolicy organisation, long now) {
+		TokenCap bucket = bucket(organisation.name(), now);
+		if (bucket != null) {
+			bucket.change(organisation.tokenCap().perSecond(), organisation.tokenCap().burst() + burstSlack(), now);
 		}
 	}
 
@@ -228,6 +233,18 @@
 		}
 	}
 
+	/**
+	 * Begins to decide. What organisations used of the former owner's buckets is not
+	 * known, so that all buckets begin anew.
+	 * @param now steady time in milliseconds
+	 */
+	void begin(long now) {
+		this.caps.clear();
+		if (this.routes != null) {
+			this.routes.organisations().forEach((organisation) -> bucket(organisation.name(), now));
+		}
+	}
+
 	/**
 	 * Forgets everything, since another host decides from now on.
 	 */
--- a/src/main/java/carawayswitch/gateway/StatusServer.java
+++ b/src/main/java/carawayswitch/gateway/StatusServer.java
@@ -28,14 +28,15 @@
 		this.answers = answers;
 	}
 
-	void listen(InetSocketAddress address) throws IOException {
-		SimpleServer
+	InetSocketAddress listen(InetSocketAddress address) throws IOException {
+		SimpleServer server = SimpleServer
 			.builder(this.reactor,
 					(socket) -> new ServerConnection(socket, this, () -> RequestLimits.DEFAULT, Clocks::steadyMillis)
 						.start())
 			.withListenAddress(address)
-			.build()
-			.listen();
+			.build();
+		server.listen();
+		return server.getBoundAddresses().get(0);
 	}
 
 	@Override
--- a/src/main/java/carawayswitch/route/RouteTable.java
+++ b/src/main/java/carawayswitch/route/RouteTable.java
@@ -1,5 +1,7 @@
 package carawayswitch.route;
 
+import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -104,6 +106,14 @@
 		return Optional.ofNullable(this.organisations.get(name));
 	}
 
+	/**
+	 * Returns the organisations that hold keys.
+	 * @return the organisations
+	 */
+	public Collection<OrganisationPolicy> organisations() {
+		return Collections.unmodifiableCollection(this.organisations.values());
+	}
+
 	/**
 	 * Finds a service.
 	 * @param name name of the service
--- /dev/null
+++ b/src/test/java/carawayswitch/gateway/GatewayTests.java
@@ -0,0 +1,327 @@
+package carawayswitch.gateway;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.BooleanSupplier;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import carawayswitch.standin.EndpointStandIn;
+import carawayswitch.standin.PlatformFleet;
+import carawayswitch.standin.PlatformStandIn;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+/**
+ * Tests of gateway hosts on real sockets, with stand-ins of the store and of endpoints.
+ */
+class GatewayTests {
+
+	private static final long LIMIT_MILLIS = 20_000;
+
+	private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+	private final AtomicInteger ids = new AtomicInteger();
+
+	private PlatformFleet fleet;
+
+	@BeforeEach
+	void start() throws Exception {
+		this.fleet = PlatformFleet.start(2);
+		await(() -> status(this.fleet.host(0).readinessAddress()) == 200
+				&& status(this.fleet.host(1).readinessAddress()) == 200);
+	}
+
+	@AfterEach
+	void stop() {
+		this.fleet.stop();
+	}
+
+	private static void await(BooleanSupplier condition) {
+		long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LIMIT_MILLIS);
+		while (!condition.getAsBoolean()) {
+			assertThat(System.nanoTime()).as("the condition holds in time").isLessThan(deadline);
+			java.util.concurrent.locks.LockSupport.parkNanos(5_000_000);
+		}
+	}
+
+	private int status(InetSocketAddress address) {
+		try {
+			return this.client
+				.send(HttpRequest.newBuilder(uri(address, "/ready")).build(), HttpResponse.BodyHandlers.discarding())
+				.statusCode();
+		}
+		catch (IOException ex) {
+			return -1;
+		}
+		catch (InterruptedException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private static URI uri(InetSocketAddress address, String path) {
+		return URI.create("http://" + address.getAddress().getHostAddress() + ":" + address.getPort() + path);
+	}
+
+	private HttpRequest request(int host, String path, String key, long patienceMillis) {
+		HttpRequest.Builder builder = HttpRequest.newBuilder(uri(this.fleet.host(host).frontAddress(), path))
+			.header("X-Attempt-Id", "attempt-" + this.ids.incrementAndGet())
+			.header("X-Deadline-Ms", Long.toString(patienceMillis))
+			.header("X-Tenant", "forged")
+			.header("X-Hold", "forged")
+			.timeout(Duration.ofMillis(LIMIT_MILLIS));
+		if (!key.isEmpty()) {
+			builder.header("Authorization", "Bearer " + key);
+		}
+		if (path.startsWith("/report") || path.startsWith("/summary")) {
+			builder.header("X-Token-Usage", "600,50").header("X-Prompt-Prefix", "aa:60,bb:540");
+		}
+		return builder.POST(HttpRequest.BodyPublishers.ofString("body")).build();
+	}
+
+	private HttpResponse<String> ask(int host, String path) throws Exception {
+		return ask(host, path, PlatformFleet.KEY);
+	}
+
+	private HttpResponse<String> ask(int host, String path, String key) throws Exception {
+		return this.client.send(request(host, path, key, 3000), HttpResponse.BodyHandlers.ofString());
+	}
+
+	private static String stream() {
+		StringBuilder text = new StringBuilder();
+		for (int i = 1; i <= EndpointStandIn.EVENTS; i++) {
+			text.append("id: ").append(i).append("\ndata: token").append(i).append("\n\n");
+		}
+		return text.toString();
+	}
+
+	private int engineRuns() {
+		return this.fleet.engines().stream().mapToInt((engine) -> engine.runs().size()).sum();
+	}
+
+	private void engines(EndpointStandIn.Manner manner) {
+		this.fleet.engines().forEach((engine) -> engine.manner(manner));
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "/report/1?q=%2F, true", "/summary/x, true", "/book/1, false", "/status/1, false", "/open/1, false" })
+	void requestsOfEachKindAreAnsweredWholeByEveryHost(String path, boolean streaming) throws Exception {
+		for (int host = 0; host < 2; host++) {
+			HttpResponse<String> answer = ask(host, path);
+			assertThat(answer.statusCode()).isEqualTo(200);
+			assertThat(answer.headers().firstValue("X-Response-Seal")).isPresent();
+			assertThat(answer.body()).isEqualTo(streaming ? stream() : "answer of ledger-0");
+		}
+	}
+
+	@Test
+	void endpointSeesTheOrganisationAndNotTheKey() throws Exception {
+		ask(0, "/book/1");
+		var headers = this.fleet.plain().runs().get(0).getValue();
+		assertThat(headers.getAll("X-Tenant")).containsExactly("yard");
+		assertThat(headers.contains("Authorization")).isFalse();
+		assertThat(headers.contains("X-Hold")).isFalse();
+		assertThat(headers.getAll("X-Expect-Instance")).containsExactly("ledger-0");
+		assertThat(Long.parseLong(headers.get("X-Deadline-Ms"))).isBetween(1L, 3000L);
+	}
+
+	@Test
+	void endpointSeesNoOrganisationWhereNoKeyIsNeeded() throws Exception {
+		ask(0, "/open/1");
+		assertThat(this.fleet.plain().runs().get(0).getValue().contains("X-Tenant")).isFalse();
+	}
+
+	@ParameterizedTest
+	@CsvSource({ "/none/1, key-of-yard, 404", "/book/1, wrong, 401", "/book/1, '', 401" })
+	void requestsThatNoConfigurationAllowsAreRejected(String path, String key, int status) throws Exception {
+		assertThat(ask(0, path, key).statusCode()).isEqualTo(status);
+		assertThat(this.fleet.plain().runs()).isEmpty();
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "/book/1", "/status/1", "/report/1" })
+	void refusedEverywhereMeansNotRun(String path) throws Exception {
+		engines(EndpointStandIn.Manner.SHED);
+		this.fleet.plain().manner(EndpointStandIn.Manner.SHED);
+		HttpResponse<String> answer = ask(0, path);
+		assertThat(answer.statusCode()).isEqualTo(503);
+		assertThat(answer.headers().firstValue("Retry-After")).isPresent();
+		assertThat(engineRuns() + this.fleet.plain().runs().size()).isZero();
+	}
+
+	@Test
+	void bookingThatMayHaveRunIsNotSentAgainAndNotCalledNotRun() throws Exception {
+		this.fleet.plain().manner(EndpointStandIn.Manner.SILENT);
+		HttpResponse<String> answer = this.client.send(request(0, "/book/1", PlatformFleet.KEY, 300),
+				HttpResponse.BodyHandlers.ofString());
+		assertThat(answer.statusCode()).isEqualTo(504);
+		assertThat(this.fleet.plain().runs()).hasSize(1);
+	}
+
+	@Test
+	void answerWithoutItsSealIsNotPassedOn() throws Exception {
+		this.fleet.plain().manner(EndpointStandIn.Manner.UNSEALED);
+		HttpResponse<String> answer = ask(0, "/book/1");
+		assertThat(answer.statusCode()).isEqualTo(502);
+		assertThat(answer.body()).isEmpty();
+		assertThat(this.fleet.plain().runs()).hasSize(1);
+	}
+
+	@Test
+	void failureOfAnEndpointKeepsItsStatusAndSeal() throws Exception {
+		this.fleet.plain().manner(EndpointStandIn.Manner.ERROR);
+		HttpResponse<String> answer = ask(0, "/book/1");
+		assertThat(answer.statusCode()).isEqualTo(500);
+		assertThat(answer.headers().firstValue("X-Response-Seal")).isPresent();
+		assertThat(answer.body()).isEqualTo("failed");
+	}
+
+	@Test
+	void resumableStreamGoesOnAtAnotherEngine() throws Exception {
+		engines(EndpointStandIn.Manner.BREAK);
+		HttpResponse<String> answer = ask(0, "/summary/1");
+		assertThat(answer.body()).isEqualTo(stream());
+		assertThat(engineRuns()).isBetween(2, 3);
+	}
+
+	@Test
+	void streamThatMayNotBeResumedBreaksOffWithoutItsEnd() {
+		engines(EndpointStandIn.Manner.BREAK);
+		assertThatThrownBy(() -> ask(0, "/report/1")).isInstanceOf(IOException.class);
+		assertThat(engineRuns()).isOne();
+	}
+
+	@Test
+	void leavingEndpointGetsNoNewWork() throws Exception {
+		EndpointStandIn leaving = this.fleet.engines().get(0);
+		this.fleet.register(leaving, "draining");
+		await(() -> {
+			int before = leaving.runs().size();
+			for (int i = 0; i < 6; i++) {
+				try {
+					ask(i % 2, "/report/" + i);
+				}
+				catch (Exception ex) {
+					throw new IllegalStateException(ex);
+				}
+			}
+			return leaving.runs().size() == before;
+		});
+	}
+
+	@Test
+	void addressThatAnotherEndpointHasTakenRunsNothing() throws Exception {
+		EndpointStandIn other = this.fleet.plain();
+		this.fleet.store().put("keyed.servers", "ledger-1", other.entry("ready"));
+		this.fleet.store().put("keyed.servers", "ledger-0", new byte[0]);
+		await(() -> {
+			try {
+				return ask(0, "/book/1").statusCode() == 503;
+			}
+			catch (Exception ex) {
+				throw new IllegalStateException(ex);
+			}
+		});
+	}
+
+	@Test
+	void removedKeyIsRefusedAndTheNewOneHolds() throws Exception {
+		this.fleet.configure("new-key");
+		await(() -> {
+			try {
+				return ask(0, "/book/1").statusCode() == 401 && ask(1, "/book/1").statusCode() == 401;
+			}
+			catch (Exception ex) {
+				throw new IllegalStateException(ex);
+			}
+		});
+		assertThat(ask(0, "/book/1", "new-key").statusCode()).isEqualTo(200);
+	}
+
+	@ParameterizedTest
+	@EnumSource(value = PlatformStandIn.Fault.class, names = { "SILENT", "BUSY", "RESET" })
+	void hostThatCannotConfirmItsConfigurationServesOnlyWithoutKeys(PlatformStandIn.Fault fault) throws Exception {
+		this.fleet.store().fault(fault);
+		await(() -> {
+			try {
+				return ask(0, "/book/1").statusCode() == 503;
+			}
+			catch (Exception ex) {
+				throw new IllegalStateException(ex);
+			}
+		});
+		assertThat(ask(0, "/open/1").statusCode()).isEqualTo(200);
+		assertThat(ask(0, "/none/1").statusCode()).isIn(404, 503);
+		await(() -> status(this.fleet.host(0).readinessAddress()) == 503);
+		this.fleet.store().fault(PlatformStandIn.Fault.NONE);
+		await(() -> status(this.fleet.host(0).readinessAddress()) == 200);
+		assertThat(ask(0, "/book/1").statusCode()).isEqualTo(200);
+	}
+
+	@Test
+	void historyThatIsDroppedIsReadAnew() throws Exception {
+		this.fleet.configure("second-key");
+		this.fleet.store().dropHistory("keyed.op");
+		this.fleet.store().dropHistory("keyed.servers");
+		await(() -> {
+			try {
+				return ask(0, "/report/1", "second-key").statusCode() == 200;
+			}
+			catch (Exception ex) {
+				throw new IllegalStateException(ex);
+			}
+		});
+	}
+
+	@Test
+	void plannedStopFinishesWhatItHasReadAndEnds() throws Exception {
+		this.fleet.engines().forEach((engine) -> engine.eventMillis(200));
+		CompletableFuture<HttpResponse<String>> running = this.client
+			.sendAsync(request(0, "/report/1", PlatformFleet.KEY, 4000), HttpResponse.BodyHandlers.ofString());
+		await(() -> engineRuns() == 1);
+		CompletableFuture<Void> stopped = this.fleet.host(0).stop();
+		await(() -> status(this.fleet.host(0).readinessAddress()) == 503);
+		HttpResponse<String> late = ask(0, "/status/1");
+		assertThat(late.statusCode()).isEqualTo(200);
+		assertThat(late.headers().firstValue("connection")).contains("close");
+		assertThat(running.get(LIMIT_MILLIS, TimeUnit.MILLISECONDS).body()).isEqualTo(stream());
+		stopped.get(LIMIT_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	@ParameterizedTest
+	@ValueSource(ints = { 0, 1 })
+	void killedHostCostsTheOthersNoRequest(int killed) throws Exception {
+		ask(0, "/report/1");
+		ask(1, "/report/1");
+		this.fleet.host(killed).kill();
+		for (int i = 0; i < 5; i++) {
+			assertThat(ask(1 - killed, "/report/1").body()).isEqualTo(stream());
+		}
+	}
+
+	@Test
+	void engineWhoseClientHasLeftIsToldByTheEndOfItsConnection() throws Exception {
+		engines(EndpointStandIn.Manner.SILENT);
+		CompletableFuture<HttpResponse<String>> left = this.client
+			.sendAsync(request(0, "/report/1", PlatformFleet.KEY, 4000), HttpResponse.BodyHandlers.ofString());
+		await(() -> engineRuns() == 1);
+		left.cancel(true);
+		await(() -> this.fleet.engines().stream().mapToInt(EndpointStandIn::openConnections).sum() == 0);
+	}
+
+}
--- /dev/null
+++ b/src/test/java/carawayswitch/gateway/PoolOwnerTests.java
@@ -0,0 +1,125 @@
+package carawayswitch.gateway;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import carawayswitch.http.RequestLimits;
+import carawayswitch.message.HeldPlace;
+import carawayswitch.message.PlaceEnded;
+import carawayswitch.message.PlaceRequest;
+import carawayswitch.route.EndpointEntry;
+import carawayswitch.route.EndpointTable;
+import carawayswitch.route.OrganisationPolicy;
+import carawayswitch.route.RouteTable;
+import carawayswitch.route.ServicePolicy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of the deciding side of places: caps over all hosts and changes of the owner.
+ */
+class PoolOwnerTests {
+
+	private static final double SLACK = 140_000;
+
+	private static final double RATE = 100_000;
+
+	private final PoolOwner owner = new PoolOwner(SLACK);
+
+	private int ids;
+
+	@BeforeEach
+	void believe() {
+		OrganisationPolicy yard = new OrganisationPolicy("yard", null,
+				new OrganisationPolicy.Cap(RATE, RATE, true, 200));
+		RouteTable routes = new RouteTable(1, List.of(), List.of(new ServicePolicy("engine", 100, true, 8, 500_000, 5)),
+				Map.of("key", yard), true, RequestLimits.DEFAULT);
+		EndpointEntry engine = new EndpointEntry("e1", "engine", InetSocketAddress.createUnresolved("10.0.0.1", 80),
+				"a", 8, false, 1);
+		this.owner.believe(routes, new EndpointTable(Map.of("e1", engine)), 0);
+	}
+
+	private PlaceRequest request(int units) {
+		return new PlaceRequest("r" + this.ids++, "engine", 4, "report", "yard", 1000, 100, 400, 3000, "a", List.of(),
+				units, 15_000, "");
+	}
+
+	private long spend(long from, long to) {
+		long spent = 0;
+		for (long now = from; now < to; now += 10) {
+			PlaceRequest request = request(20_000);
+			while (this.owner.ask("host", request, now) == null && granted(now)) {
+				this.owner.ended(new PlaceEnded(request.requestId(), "engine", "ANSWERED", 1, 1), now);
+				spent += 20_000;
+				request = request(20_000);
+			}
+		}
+		return spent;
+	}
+
+	private boolean granted(long now) {
+		return this.owner.decide(now).stream().allMatch((each) -> !each.reply().endpoint().isEmpty());
+	}
+
+	@ParameterizedTest
+	@ValueSource(ints = { 0, 1, 2 })
+	void capHoldsInAWindowWithChangesOfTheOwner(int changes) {
+		spend(0, 20_000);
+		long spent = 0;
+		long window = 8000;
+		for (int i = 0; i <= changes; i++) {
+			long from = 20_000 + window * i / (changes + 1);
+			if (i > 0) {
+				this.owner.begin(from);
+			}
+			spent += spend(from, 20_000 + window * (i + 1) / (changes + 1));
+		}
+		assertThat(spent).isLessThanOrEqualTo((long) ((RATE * 8 + RATE) * 1.1 + SLACK))
+			.isGreaterThan((long) (RATE * 8 * 0.9));
+	}
+
+	@Test
+	void refusalByTheCapNamesAWaitAndTakesNoPlace() {
+		spend(0, 1000);
+		var refusal = this.owner.ask("host", request(90_000), 1000);
+		assertThat(refusal.overCap()).isTrue();
+		assertThat(refusal.retryAfterMillis()).isPositive();
+		assertThat(this.owner.waitingCount() + this.owner.runningCount()).isZero();
+	}
+
+	@Test
+	void withdrawnWishGivesItsUnitsBack() {
+		spend(0, 20_000);
+		long wait = this.owner.ask("host", request(20_000), 20_000).retryAfterMillis();
+		long later = 20_000 + wait;
+		PlaceRequest request = request(20_000);
+		assertThat(this.owner.ask("host", request, later)).isNull();
+		this.owner.ended(new PlaceEnded(request.requestId(), "engine", "", 0, 0), later);
+		assertThat(this.owner.ask("host", request(20_000), later)).isNull();
+	}
+
+	@Test
+	void newOwnerCountsWhatTheHostsTellIt() {
+		PlaceRequest request = request(0);
+		this.owner.adopt("host", "engine", List.of(new HeldPlace("e1", request)), 0);
+		assertThat(this.owner.runningCount()).isOne();
+		this.owner.hostLost("host");
+		assertThat(this.owner.runningCount()).isZero();
+	}
+
+	@Test
+	void repeatedWishGetsTheSameGrant() {
+		PlaceRequest request = request(0);
+		assertThat(this.owner.ask("host", request, 0)).isNull();
+		this.owner.decide(0);
+		assertThat(this.owner.ask("host", request, 700).endpoint()).isEqualTo("e1");
+		assertThat(this.owner.runningCount()).isOne();
+	}
+
+}
