--- a/src/main/java/carawayswitch/dispatch/Forwarder.java
+++ b/src/main/java/carawayswitch/dispatch/Forwarder.java
@@ -19,6 +19,7 @@
 import carawayswitch.message.ReplyHead;
 import carawayswitch.outcome.ErrorKind;
 import carawayswitch.outcome.Outcome;
+import carawayswitch.time.MonotonicClock;
 import carawayswitch.transport.PeerTransport;
 
 /**
@@ -94,7 +95,7 @@
 		CancelRequest cancel = new CancelRequest(request.requestId(), request.attempt(), entry.owner.incarnation(),
 				request.endpoint());
 		if (entry.owner.host().equals(this.host)) {
-			this.owners.cancel(cancel, System.currentTimeMillis(), (neverDispatched) -> onCancelReply(this.host,
+			this.owners.cancel(cancel, MonotonicClock.millis(), (neverDispatched) -> onCancelReply(this.host,
 					new CancelReply(request.requestId(), request.attempt(), neverDispatched)));
 		}
 		else {
--- a/src/main/java/carawayswitch/entry/CallerResponse.java
+++ b/src/main/java/carawayswitch/entry/CallerResponse.java
@@ -10,6 +10,7 @@
 import carawayswitch.endpoint.EngineAdapter;
 import carawayswitch.outcome.ErrorKind;
 import carawayswitch.outcome.Outcome;
+import carawayswitch.time.MonotonicClock;
 
 /**
  * Turns an answer into the HTTP response of the caller. Invariant: a response is complete
@@ -85,7 +86,7 @@
 	@Override
 	public void body(byte[] piece) {
 		if (this.firstByteAt == 0) {
-			this.firstByteAt = System.currentTimeMillis();
+			this.firstByteAt = MonotonicClock.millis();
 		}
 		if (!this.events) {
 			this.whole.writeBytes(piece);
--- a/src/main/java/carawayswitch/host/CarawayHost.java
+++ b/src/main/java/carawayswitch/host/CarawayHost.java
@@ -290,8 +290,7 @@
 	private void heartbeat() {
 		long now = MonotonicClock.millis();
 		refreshView(now);
-		long wall = System.currentTimeMillis();
-		this.owners.digests().forEach((digest) -> this.entry.onDigest(digest, wall));
+		this.owners.digests().forEach((digest) -> this.entry.onDigest(digest, now));
 		for (String peer : this.membership.nextRound(now)) {
 			this.transport.send(peer, heartbeatMessage(false, now));
 		}
@@ -426,7 +425,7 @@
 			this.owners.submit(request, new RemoteSink(this.transport, peer));
 		}
 		else if (message instanceof CancelRequest request) {
-			this.owners.cancel(request, System.currentTimeMillis(), (neverDispatched) -> this.transport.send(peer,
+			this.owners.cancel(request, MonotonicClock.millis(), (neverDispatched) -> this.transport.send(peer,
 					new CancelReply(request.requestId(), request.attempt(), neverDispatched)));
 		}
 		else if (message instanceof AttachRequest request) {
@@ -450,8 +449,7 @@
 		long now = MonotonicClock.millis();
 		boolean leavingBefore = isLeaving(peer);
 		this.membership.onHeartbeat(heartbeat, now);
-		long wall = System.currentTimeMillis();
-		heartbeat.digests().forEach((digest) -> this.entry.onDigest(digest, wall));
+		heartbeat.digests().forEach((digest) -> this.entry.onDigest(digest, now));
 		if (heartbeat.self().leaving() != leavingBefore || !this.view.get().live().containsKey(peer)) {
 			refreshView(now);
 		}
--- a/src/main/java/carawayswitch/host/GuardService.java
+++ b/src/main/java/carawayswitch/host/GuardService.java
@@ -321,7 +321,7 @@
 			if (this.done) {
 				return;
 			}
-			if (System.currentTimeMillis() >= this.deadline) {
+			if (MonotonicClock.millis() >= this.deadline) {
 				end(this.last);
 				return;
 			}
--- a/src/main/java/carawayswitch/host/Loops.java
+++ b/src/main/java/carawayswitch/host/Loops.java
@@ -11,6 +11,7 @@
 import carawayswitch.http.HttpCaller;
 import carawayswitch.log.LogEvent;
 import carawayswitch.settings.Settings;
+import carawayswitch.time.MonotonicClock;
 
 /**
  * Event loops of a host, each on a thread of its own: one for control and connections
@@ -37,6 +38,7 @@
 
 	private static Eventloop startLoop(String name) {
 		Eventloop loop = Eventloop.builder()
+			.withTimeProvider(MonotonicClock::millis)
 			.withFatalErrorHandler((failure, context) -> LogEvent.INTERNAL_ERROR.log("reason", failure, "context",
 					context, "cause", failure.getCause(), "at",
 					(failure.getStackTrace().length > 0) ? failure.getStackTrace()[0] : ""))
--- a/src/main/java/carawayswitch/transport/Frames.java
+++ b/src/main/java/carawayswitch/transport/Frames.java
@@ -1,9 +1,11 @@
 package carawayswitch.transport;
 
+import java.util.function.IntSupplier;
+
 import io.activej.bytebuf.ByteBuf;
 import io.activej.bytebuf.ByteBufPool;
+import io.activej.common.exception.MalformedDataException;
 import io.activej.csp.binary.decoder.ByteBufsDecoder;
-import io.activej.csp.binary.decoder.ByteBufsDecoders;
 
 import carawayswitch.message.Message;
 import carawayswitch.message.MessageCodec;
@@ -13,9 +15,14 @@
  */
 final class Frames {
 
-	/** Largest accepted frame in bytes. */
+	/** Largest accepted frame in bytes; a request with a large body fits. */
 	static final int MAX_BYTES = 128 * 1024 * 1024;
 
+	/**
+	 * Largest frame in bytes before the other side has proved that it knows the secret.
+	 */
+	static final int MAX_HANDSHAKE_BYTES = 4096;
+
 	private Frames() {
 	}
 
@@ -27,8 +34,30 @@
 		return frame;
 	}
 
-	static ByteBufsDecoder<ByteBuf> decoder() {
-		return ByteBufsDecoders.ofIntSizePrefixedBytes(MAX_BYTES);
+	/**
+	 * Creates a decoder. A length beyond the limit fails at once, so that bytes of
+	 * another protocol are not waited for.
+	 * @param limit returns the largest frame in bytes that is accepted now
+	 * @return the decoder
+	 */
+	static ByteBufsDecoder<ByteBuf> decoder(IntSupplier limit) {
+		return (buffers) -> {
+			if (!buffers.hasRemainingBytes(Integer.BYTES)) {
+				return null;
+			}
+			int length = 0;
+			for (int i = 0; i < Integer.BYTES; i++) {
+				length = (length << Byte.SIZE) | (buffers.peekByte(i) & 0xff);
+			}
+			if (length < 0 || length > limit.getAsInt()) {
+				throw new MalformedDataException("frame of " + length + " bytes; valid: 0 to " + limit.getAsInt());
+			}
+			if (!buffers.hasRemainingBytes(Integer.BYTES + length)) {
+				return null;
+			}
+			buffers.skip(Integer.BYTES);
+			return buffers.takeExactSize(length);
+		};
 	}
 
 }
--- a/src/main/java/carawayswitch/transport/IncomingLink.java
+++ b/src/main/java/carawayswitch/transport/IncomingLink.java
@@ -60,7 +60,7 @@
 	void start(long now) {
 		this.heardAt = now;
 		BinaryChannelSupplier.of(ChannelSuppliers.ofSocket(this.socket))
-			.decodeStream(Frames.decoder())
+			.decodeStream(Frames.decoder(() -> this.verified ? Frames.MAX_BYTES : Frames.MAX_HANDSHAKE_BYTES))
 			.streamTo(new FrameConsumer(this::onFrame))
 			.subscribe((done, failure) -> close((failure != null) ? String.valueOf(failure.getMessage()) : ""));
 	}
--- a/src/main/java/carawayswitch/transport/OutgoingLink.java
+++ b/src/main/java/carawayswitch/transport/OutgoingLink.java
@@ -100,7 +100,7 @@
 				PeerIdentity.VERSION);
 		write(Frames.encode(hello));
 		BinaryChannelSupplier.of(ChannelSuppliers.ofSocket(connected))
-			.decodeStream(Frames.decoder())
+			.decodeStream(Frames.decoder(() -> this.ready ? Frames.MAX_BYTES : Frames.MAX_HANDSHAKE_BYTES))
 			.streamTo(new FrameConsumer(this::onFrame))
 			.subscribe((done, failure) -> close((failure != null) ? failure.getMessage() : "closed by peer"));
 	}
--- /dev/null
+++ b/src/test/java/carawayswitch/transport/ForeignBytesTests.java
@@ -0,0 +1,78 @@
+package carawayswitch.transport;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Set;
+
+import io.activej.common.function.RunnableEx;
+import io.activej.eventloop.Eventloop;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import carawayswitch.message.Message;
+import carawayswitch.time.MonotonicClock;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests that the internal port closes connections of other protocols at once.
+ */
+class ForeignBytesTests implements PeerHandler {
+
+	/** Long enough that only a close because of the bytes can end a test in time. */
+	private static final long SILENCE_MILLIS = 600_000;
+
+	private final Eventloop loop = Eventloop.builder().withTimeProvider(MonotonicClock::millis).build();
+
+	private InetSocketAddress address;
+
+	@BeforeEach
+	void start() {
+		this.loop.keepAlive(true);
+		new Thread(this.loop, "loop").start();
+		PeerTransport transport = new PeerTransport(this.loop, new PeerIdentity("a", 1, "secret"),
+				new PeerTransport.Times(50, SILENCE_MILLIS), (peer) -> "", this);
+		RunnableEx listen = () -> this.address = transport
+			.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+		this.loop.submit(listen).join();
+	}
+
+	@AfterEach
+	void stop() {
+		this.loop.execute(() -> {
+			this.loop.keepAlive(false);
+			this.loop.breakEventloop();
+		});
+	}
+
+	@ParameterizedTest
+	@ValueSource(strings = { "GET / HTTP/1.1\r\nHost: h\r\n\r\n", "\u0016\u0003\u0001\u0002\u0000\u0001",
+			"\u0000\u0001\u0000\u0000", "\u00ff\u00ff\u00ff\u00ff" })
+	void connectionOfAnotherProtocolIsClosed(String bytes) throws IOException {
+		try (Socket socket = new Socket(this.address.getAddress(), this.address.getPort())) {
+			socket.setSoTimeout(10_000);
+			socket.getOutputStream().write(bytes.getBytes(StandardCharsets.ISO_8859_1));
+			assertThat(socket.getInputStream().read()).isEqualTo(-1);
+		}
+	}
+
+	@Override
+	public void onMessage(String peer, long incarnation, Message message) {
+		throw new IllegalStateException("no message can come");
+	}
+
+	@Override
+	public Set<String> awaitedPeers() {
+		return Set.of();
+	}
+
+	@Override
+	public void onPeerLost(String peer) {
+	}
+
+}
