--- a/src/main/java/carawayswitch/log/DecisionLog.java
+++ b/src/main/java/carawayswitch/log/DecisionLog.java
@@ -9,8 +9,9 @@
 
 /**
  * Log of decisions with a bound on its volume. Never blocks the caller: lines beyond the
- * rate, and lines that the output does not take in time, are counted and left out. Safe
- * for use by several threads.
+ * rate, and lines that the output does not take in time, are counted and left out. Each
+ * line has the time of its event in {@code at_ms}, milliseconds since the epoch. Safe for
+ * use by several threads.
  *
  * <pre>
  * log.write(LogEvent.ATTEMPT_SENT, "request", id, "endpoint", endpoint);
@@ -66,7 +67,7 @@
 			this.writtenInSecond.set(0);
 		}
 		boolean within = this.writtenInSecond.incrementAndGet() <= this.linesPerSecond;
-		if (!within || !this.waiting.offer(new Line(event, keyValues))) {
+		if (!within || !this.waiting.offer(new Line(System.currentTimeMillis(), event, keyValues))) {
 			this.omitted.incrementAndGet();
 		}
 	}
@@ -88,7 +89,7 @@
 	private synchronized void flush() {
 		List<Line> lines = new ArrayList<>();
 		this.waiting.drainTo(lines);
-		lines.forEach((line) -> line.event().log(line.keyValues()));
+		lines.forEach(Line::write);
 		long count = this.omitted.getAndSet(0);
 		if (count > 0) {
 			LogEvent.LOG_OMITTED.log("lines", count, "limit_per_s", this.linesPerSecond);
@@ -103,7 +104,19 @@
 		flush();
 	}
 
-	private record Line(LogEvent event, Object[] keyValues) {
+	/**
+	 * A line with the time of its event, which is earlier than the time of its writing.
+	 * Immutable.
+	 */
+	private record Line(long atMillis, LogEvent event, Object[] keyValues) {
+
+		void write() {
+			Object[] all = new Object[this.keyValues.length + 2];
+			all[0] = "at_ms";
+			all[1] = this.atMillis;
+			System.arraycopy(this.keyValues, 0, all, 2, this.keyValues.length);
+			this.event.log(all);
+		}
 
 	}
 
--- /dev/null
+++ b/src/main/java/carawayswitch/measure/PoolLoad.java
@@ -0,0 +1,109 @@
+package carawayswitch.measure;
+
+import java.util.List;
+
+/**
+ * A pattern of load on one pool of engines. Times are seconds unless named otherwise.
+ * Immutable.
+ *
+ * @param name name of the pattern
+ * @param factor factor on the steady rates of all kinds
+ * @param bursts times at which a kind or organisation asks for more
+ * @param outages times at which engines are away
+ */
+record PoolLoad(String name, double factor, List<Burst> bursts, List<Outage> outages) {
+
+	/** Length of a run in seconds. */
+	static final double SECONDS = 34;
+
+	/** Kinds of requests: long reports, summaries and tags, in the order of urgency. */
+	static final List<Kind> KINDS = List.of(new Kind("report", 4, 11.3, 6610, 1.4, 380, 1.5, 1000, 15_000, 6.8, 2.0),
+			new Kind("summary", 3, 10.6, 628, 1.0, 290, 1.5, 400, 12_000, 1.7, 0.51),
+			new Kind("tag", 2, 14.9, 1800, 1.3, 23, 1.5, 400, 3000, 0.34, 0.1));
+
+	/** Speeds of the engines as factors on the time of a step; two are stragglers. */
+	static final double[] SLOWNESS = { 0.68, 0.68, 3.0, 0.68, 0.68, 3.0 };
+
+	/** Shares of the organisations; a few are large. */
+	static final double[] ORGANISATION_SHARES = { 0.44, 0.2, 0.14, 0.12, 0.1 };
+
+	/** All patterns. */
+	static final List<PoolLoad> ALL = List.of(new PoolLoad("steady", 1.0, List.of(), List.of()),
+			new PoolLoad("tag-flood", 1.3, List.of(new Burst(4.6, 6.7, 2.5, 2, -1)), List.of()),
+			new PoolLoad("report-flood", 1.3, List.of(new Burst(12, 3.3, 1.8, 0, -1)), List.of()),
+			new PoolLoad("large-organisation", 1.3, List.of(new Burst(7, 6, 6, -1, 4)), List.of()),
+			new PoolLoad("lost-engines", 1.3, List.of(), List.of(new Outage(8, 5, 0), new Outage(11, 2, 1))),
+			new PoolLoad("everything", 1.6,
+					List.of(new Burst(4.5, 6.9, 2.3, 2, -1), new Burst(12, 3.2, 1.8, 0, -1),
+							new Burst(8.7, 5.3, 3, -1, 3)),
+					List.of(new Outage(8, 5, 0), new Outage(11, 2, 1), new Outage(2, 32, 5))));
+
+	/**
+	 * Returns the rate of a kind for an organisation.
+	 * @param kind number of the kind
+	 * @param organisation number of the organisation
+	 * @param second time in seconds
+	 * @return requests per second
+	 */
+	double rate(int kind, int organisation, double second) {
+		double rate = KINDS.get(kind).perSecond() * ORGANISATION_SHARES[organisation] * this.factor;
+		for (Burst burst : this.bursts) {
+			boolean fits = (burst.kind() < 0 || burst.kind() == kind)
+					&& (burst.organisation() < 0 || burst.organisation() == organisation);
+			if (fits && second >= burst.at() && second < burst.at() + burst.seconds()) {
+				rate *= burst.factor();
+			}
+		}
+		return rate;
+	}
+
+	/**
+	 * A kind of request. Immutable.
+	 *
+	 * @param name name of the kind
+	 * @param urgency shared urgency
+	 * @param perSecond steady rate per second
+	 * @param promptTokens mean length of the prompt in tokens
+	 * @param promptSpread spread of the prompt's logarithm
+	 * @param outputTokens mean length of the answer in tokens
+	 * @param outputSpread spread of the answer's logarithm
+	 * @param objectiveMillis time to the first event that is on time, in milliseconds
+	 * @param clientMillis time that a client waits in all, in milliseconds
+	 * @param worth value of a mean request on time
+	 * @param lateWorth value of a mean request that is late
+	 */
+	record Kind(String name, int urgency, double perSecond, double promptTokens, double promptSpread,
+			double outputTokens, double outputSpread, long objectiveMillis, long clientMillis, double worth,
+			double lateWorth) {
+
+		double size(double prompt, double output) {
+			return 0.3 + 0.7 * Math.min(4, (prompt + 10 * output) / (this.promptTokens + 10 * this.outputTokens));
+		}
+
+	}
+
+	/**
+	 * A time at which more is asked for. Immutable.
+	 *
+	 * @param at start in seconds
+	 * @param seconds length in seconds
+	 * @param factor factor on the rate
+	 * @param kind number of the kind, or -1 for all
+	 * @param organisation number of the organisation, or -1 for all
+	 */
+	record Burst(double at, double seconds, double factor, int kind, int organisation) {
+
+	}
+
+	/**
+	 * A time at which an engine is away. Immutable.
+	 *
+	 * @param at start in seconds
+	 * @param seconds length in seconds
+	 * @param engine number of the engine
+	 */
+	record Outage(double at, double seconds, int engine) {
+
+	}
+
+}
