--- a/src/main/java/carawayswitch/cli/Main.java
+++ b/src/main/java/carawayswitch/cli/Main.java
@@ -16,7 +16,8 @@
 	static final List<Command> COMMANDS = List.of(new ServeCommand(), new GatewayCommand(), new CheckCommand(),
 			new TryCommand(), new StandInCommand(), new MeasureCommand(), new SlopesCommand(),
 			new EntityCommand("tier"), new EntityCommand("profile"), new EntityCommand("organisation"),
-			new EntityCommand("service"), new EntityCommand("endpoint"), new StatusCommand(), new AuditCommand());
+			new EntityCommand("service"), new EntityCommand("endpoint"), new StatusCommand(), new AuditCommand(),
+			new ExplainCommand());
 
 	private Main() {
 	}
--- a/src/main/java/carawayswitch/gateway/GatewayHost.java
+++ b/src/main/java/carawayswitch/gateway/GatewayHost.java
@@ -37,8 +37,12 @@
 	/** Most log lines per second; about twice those of a busy second. */
 	private static final long LOG_LINES_PER_SECOND = 400;
 
-	/** Wait of a read for a new configuration in milliseconds. */
-	private static final long CONFIGURATION_WAIT_MILLIS = 1400;
+	/**
+	 * Wait of a read for a new configuration in milliseconds. A configuration is up to
+	 * two waits old when the store goes away, which is taken off the time for which
+	 * requests with keys go on.
+	 */
+	private static final long CONFIGURATION_WAIT_MILLIS = 800;
 
 	/**
 	 * Pause between two reads of configurations in milliseconds; bounds the calls while
--- /dev/null
+++ b/src/main/java/carawayswitch/log/LogLine.java
@@ -0,0 +1,56 @@
+package carawayswitch.log;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * A line of the log, read back. Immutable.
+ *
+ * @param event name of the event
+ * @param atMillis time of the event in milliseconds since the epoch, or -1
+ * @param values its other keys and values in their order
+ */
+public record LogLine(String event, long atMillis, Map<String, String> values) {
+
+	private static final Pattern PAIR = Pattern.compile("([a-z_]+)=(\"(?:[^\"\\\\]|\\\\.)*\"|\\S*)");
+
+	/**
+	 * Reads a line. Text before the event, such as what a collector adds, is skipped.
+	 * @param text the line
+	 * @return the parts of the line, or nothing if it tells of no event
+	 */
+	public static Optional<LogLine> parse(String text) {
+		int start = text.indexOf("event=");
+		if (start < 0) {
+			return Optional.empty();
+		}
+		Map<String, String> values = new LinkedHashMap<>();
+		Matcher pairs = PAIR.matcher(text);
+		for (int from = start; pairs.find(from); from = pairs.end()) {
+			values.put(pairs.group(1), unquoted(pairs.group(2)));
+		}
+		String event = values.remove("event");
+		String at = values.remove("at_ms");
+		return Optional
+			.of(new LogLine(event, (at != null && at.matches("\\d{1,18}")) ? Long.parseLong(at) : -1, values));
+	}
+
+	private static String unquoted(String value) {
+		boolean quoted = value.length() >= 2 && value.startsWith("\"") && value.endsWith("\"");
+		return quoted ? value.substring(1, value.length() - 1).replace("\\\"", "\"").replace("\\\\", "\\") : value;
+	}
+
+	/**
+	 * Returns whether the line concerns a request or one of its attempts.
+	 * @param requestId id of the request
+	 * @return true if it does
+	 */
+	public boolean concerns(String requestId) {
+		String request = this.values.getOrDefault("request", "");
+		return request.equals(requestId) || request.startsWith(requestId + "#");
+	}
+
+}
