--- a/src/main/java/carawayswitch/gateway/GatewayPeers.java
+++ b/src/main/java/carawayswitch/gateway/GatewayPeers.java
@@ -2,7 +2,9 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -43,6 +45,12 @@
 	/** Silence in milliseconds after which a probed connection is replaced. */
 	private static final long SILENCE_MILLIS = 700;
 
+	/**
+	 * Hosts to which beats are sent: the owner of the pools and those that would follow
+	 * it. In a fleet of up to one more, every host knows every other one.
+	 */
+	static final int CANDIDATES = 7;
+
 	private static final String OWNER_KEY = "pools/";
 
 	private final NioReactor reactor;
@@ -113,18 +121,31 @@
 
 	private void beat() {
 		long now = Clocks.steadyMillis();
-		GatewayBeat message = new GatewayBeat(this.self.host(), this.self.incarnation(), this.self.address(),
-				this.self.zone(), this.leaving);
-		this.peers.forEach((host, peer) -> {
-			boolean heard = now - peer.heardAt < TRY_MILLIS;
-			if (heard || now - peer.learntAt < TRY_MILLIS) {
-				this.transport.send(host, message);
-			}
-		});
+		candidates(now).forEach((host) -> this.transport.send(host, message(false)));
 		refresh(now);
 		this.reactor.delayBackground(BEAT_MILLIS, this::beat);
 	}
 
+	private GatewayBeat message(boolean reply) {
+		return new GatewayBeat(this.self.host(), this.self.incarnation(), this.self.address(), this.self.zone(),
+				this.leaving, reply);
+	}
+
+	// The hosts that may own the pools now or next. Only they need to know all others.
+	private List<String> candidates(long now) {
+		return this.peers.entrySet()
+			.stream()
+			.filter((each) -> now - Math.max(each.getValue().heardAt, each.getValue().learntAt) < TRY_MILLIS)
+			.map(Map.Entry::getKey)
+			.sorted(Comparator.comparingLong(GatewayPeers::rank).reversed())
+			.limit(CANDIDATES)
+			.toList();
+	}
+
+	private static long rank(String host) {
+		return MurmurHash3.hash128x64((OWNER_KEY + host).getBytes(StandardCharsets.UTF_8))[0];
+	}
+
 	private void refresh(long now) {
 		Set<String> current = new TreeSet<>();
 		if (!this.leaving) {
@@ -138,7 +159,7 @@
 		if (current.isEmpty()) {
 			current.add(this.self.host());
 		}
-		this.largestSeen = Math.max(this.largestSeen, current.size());
+		this.largestSeen = Math.max(this.largestSeen, Math.max(current.size(), known(now)));
 		if (!current.equals(this.live)) {
 			Set<String> before = this.live;
 			this.live = current;
@@ -149,6 +170,14 @@
 		}
 	}
 
+	// Hosts that the directory or a beat has told of lately, this one included.
+	private int known(long now) {
+		return 1 + (int) this.peers.values()
+			.stream()
+			.filter((peer) -> now - Math.max(peer.heardAt, peer.learntAt) < TRY_MILLIS)
+			.count();
+	}
+
 	@Override
 	public void onMessage(String peer, long incarnation, Message message) {
 		long now = Clocks.steadyMillis();
@@ -173,6 +202,9 @@
 		peer.zone = beat.zone();
 		peer.leaving = beat.leaving();
 		peer.heardAt = now;
+		if (!beat.reply() && !candidates(now).contains(beat.host())) {
+			this.transport.send(beat.host(), message(true));
+		}
 		refresh(now);
 	}
 
@@ -195,17 +227,7 @@
 	 * @return id of the host
 	 */
 	String owner() {
-		String best = this.self.host();
-		long highest = Long.MIN_VALUE;
-		for (String host : this.live) {
-			byte[] name = (OWNER_KEY + host).getBytes(java.nio.charset.StandardCharsets.UTF_8);
-			long score = MurmurHash3.hash128x64(name)[0];
-			if (score > highest) {
-				highest = score;
-				best = host;
-			}
-		}
-		return best;
+		return this.live.stream().max(Comparator.comparingLong(GatewayPeers::rank)).orElse(this.self.host());
 	}
 
 	void send(String host, Message message) {
@@ -225,7 +247,7 @@
 	}
 
 	/**
-	 * Returns the largest number of live hosts that this host has seen.
+	 * Returns the largest number of hosts that this host has known at once.
 	 * @return the number
 	 */
 	int largestSeen() {
--- a/src/main/java/carawayswitch/gateway/Placements.java
+++ b/src/main/java/carawayswitch/gateway/Placements.java
@@ -56,8 +56,8 @@
 
 	private boolean deciding;
 
-	Placements(NioReactor reactor, DecisionLog log, double capSlack) {
-		this.own = new PoolOwner(capSlack);
+	Placements(NioReactor reactor, DecisionLog log, PoolOwner own) {
+		this.own = own;
 		this.reactor = reactor;
 		this.log = log;
 	}
--- a/src/main/java/carawayswitch/gateway/PoolOwner.java
+++ b/src/main/java/carawayswitch/gateway/PoolOwner.java
@@ -33,20 +33,25 @@
 final class PoolOwner {
 
 	/**
-	 * Part of the excess that the deployment allows in a window which a bucket may hand
-	 * out: large requests of small organisations need it.
+	 * Part of the units by which a cap may be exceeded in a window that a bucket hands
+	 * out; large requests of small organisations need them.
 	 */
-	static final double BURST_SLACK_SHARE = 0.6;
+	static final double SLACK_SHARE = 0.65;
+
+	/** Part of the share by which a cap may be exceeded that a bucket's rate uses. */
+	static final double EXCESS_SHARE = 0.5;
 
 	/**
-	 * Part of that excess with which a bucket begins. The owner of the cap before this
+	 * Part of those units with which a bucket begins. The owner of the cap before this
 	 * one may have handed out a whole bucket just now; two changes of the owner in a
 	 * window are covered.
 	 */
-	static final double INITIAL_SLACK_SHARE = 0.2;
+	static final double INITIAL_SLACK_SHARE = 0.17;
 
 	private final double capSlack;
 
+	private final double capExcess;
+
 	private final Map<String, PoolScheduler> schedulers = new HashMap<>();
 
 	private final Map<String, TokenCap> caps = new HashMap<>();
@@ -62,9 +67,11 @@
 	/**
 	 * Creates an owner that knows nothing yet.
 	 * @param capSlack units by which a cap may be exceeded in a window
+	 * @param capExcess share by which it may be exceeded besides
 	 */
-	PoolOwner(double capSlack) {
+	PoolOwner(double capSlack, double capExcess) {
 		this.capSlack = capSlack;
+		this.capExcess = capExcess;
 	}
 
 	/**
@@ -85,7 +92,7 @@
 	private void changeCap(OrganisationPolicy organisation, long now) {
 		TokenCap bucket = bucket(organisation.name(), now);
 		if (bucket != null) {
-			bucket.change(organisation.tokenCap().perSecond(), organisation.tokenCap().burst() + burstSlack(), now);
+			bucket.change(rate(organisation.tokenCap()), burst(organisation.tokenCap()), now);
 		}
 	}
 
@@ -148,12 +155,16 @@
 		if (cap == null) {
 			return null;
 		}
-		return this.caps.computeIfAbsent(organisation, (name) -> new TokenCap(cap.perSecond(),
-				cap.burst() + burstSlack(), this.capSlack * INITIAL_SLACK_SHARE, now));
+		return this.caps.computeIfAbsent(organisation,
+				(name) -> new TokenCap(rate(cap), burst(cap), this.capSlack * INITIAL_SLACK_SHARE, now));
+	}
+
+	private double rate(OrganisationPolicy.Cap cap) {
+		return cap.perSecond() * (1 + this.capExcess * EXCESS_SHARE);
 	}
 
-	private double burstSlack() {
-		return this.capSlack * BURST_SLACK_SHARE;
+	private double burst(OrganisationPolicy.Cap cap) {
+		return cap.burst() * (1 + this.capExcess) + this.capSlack * SLACK_SHARE;
 	}
 
 	private static PoolDemand demand(String host, PlaceRequest request, long now) {
--- a/src/test/java/carawayswitch/gateway/PoolOwnerTests.java
+++ b/src/test/java/carawayswitch/gateway/PoolOwnerTests.java
@@ -30,7 +30,7 @@
 
 	private static final double RATE = 100_000;
 
-	private final PoolOwner owner = new PoolOwner(SLACK);
+	private final PoolOwner owner = new PoolOwner(SLACK, 0.1);
 
 	private int ids;
 
