--- a/src/main/java/carawayswitch/gateway/BeliefFollower.java
+++ b/src/main/java/carawayswitch/gateway/BeliefFollower.java
@@ -82,7 +82,7 @@
 		if (!this.failing) {
 			this.failing = true;
 			this.log.write(LogEvent.STORE_LOST, "records", this.name, "reason", failure.getMessage(), "age_ms",
-					this.confirmed.age(Clocks.steadyMillis(), Clocks.wallMillis()));
+					this.confirmed.shownAge(Clocks.steadyMillis(), Clocks.wallMillis()));
 		}
 		later(RETRY_MILLIS);
 	}
--- a/src/main/java/carawayswitch/gateway/Exchange.java
+++ b/src/main/java/carawayswitch/gateway/Exchange.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Objects;
 import java.util.Set;
 
 import io.activej.reactor.schedule.ScheduledRunnable;
@@ -20,8 +21,10 @@
 import carawayswitch.message.PlaceRequest;
 import carawayswitch.metrics.Metric;
 import carawayswitch.outcome.ErrorKind;
+import carawayswitch.outcome.Outcome;
 import carawayswitch.route.EndpointEntry;
 import carawayswitch.route.OrganisationPolicy;
+import carawayswitch.route.RequestKind;
 import carawayswitch.route.Route;
 import carawayswitch.route.RouteTable;
 import carawayswitch.route.ServicePolicy;
@@ -174,7 +177,7 @@
 		this.clientExpiresAt = (this.attempt.patienceMillis() >= 0) ? now + this.attempt.patienceMillis()
 				: Long.MAX_VALUE / 2;
 		this.expiresAt = Math.min(now + this.route.timeoutMillis(), this.clientExpiresAt);
-		if (this.context.stopping() && this.route.kind() == carawayswitch.route.RequestKind.STREAMING
+		if (this.context.stopping() && this.route.kind() == RequestKind.STREAMING
 				&& now - this.context.stoppingSince > STREAMS_UNTIL_MILLIS) {
 			refuse(ErrorKind.HOST_STOPPING, OTHER_HOST_RETRY_MILLIS, "stopping");
 			return;
@@ -242,8 +245,8 @@
 
 	// A refused request comes back under another id: the rest of it stays the same.
 	private String returnKey() {
-		return Integer.toHexString(java.util.Objects.hash(this.request.target(), organisationName(),
-				this.attempt.session(), this.attempt.promptTokens(), this.attempt.maxOutputTokens()));
+		return Integer.toHexString(Objects.hash(this.request.target(), organisationName(), this.attempt.session(),
+				this.attempt.promptTokens(), this.attempt.maxOutputTokens()));
 	}
 
 	private int capUnits() {
@@ -284,8 +287,8 @@
 				this.events.lastId());
 		this.context.log.write(LogEvent.ATTEMPT_SENT, "request", this.attempt.id(), "endpoint", endpointId, "service",
 				this.service, "attempt", this.sends, "left_ms", left, "routes_version",
-				this.context.routes.get().version(), "routes_age_ms", this.context.configurationAge(), "resume_after",
-				String.valueOf(this.events.lastId()));
+				this.context.routes.get().version(), "routes_age_ms", this.context.shownConfigurationAge(),
+				"resume_after", String.valueOf(this.events.lastId()));
 		boolean repeatable = this.route.repeatable();
 		this.current.start(
 				new HttpRequestParts(this.request.method(), this.request.target(),
@@ -344,7 +347,7 @@
 			finish(kind.label(), reason);
 			this.client.close();
 		}
-		else if (this.mayHaveRun && kind.outcome() == carawayswitch.outcome.Outcome.NOT_RUN) {
+		else if (this.mayHaveRun && kind.outcome() == Outcome.NOT_RUN) {
 			refuse(ErrorKind.CONNECTION_LOST, -1, reason);
 		}
 		else {
@@ -394,7 +397,7 @@
 		this.context.metrics.record(Metric.DURATION, now - this.request.arrivedAt(), "kind", kind);
 		this.context.log.write(LogEvent.GATEWAY_ANSWERED, "request", this.attempt.id(), "route", kind, "outcome",
 				outcome, "reason", reason, "attempts", this.sends, "ms", now - this.request.arrivedAt(), "organisation",
-				organisationName(), "routes_age_ms", this.context.configurationAge());
+				organisationName(), "routes_age_ms", this.context.shownConfigurationAge());
 		this.onOver.run();
 	}
 
@@ -471,7 +474,7 @@
 
 		private boolean streaming() {
 			return this.verdict == EndpointAnswer.Verdict.SUCCESS
-					&& Exchange.this.route.kind() == carawayswitch.route.RequestKind.STREAMING;
+					&& Exchange.this.route.kind() == RequestKind.STREAMING;
 		}
 
 		@Override
--- a/src/main/java/carawayswitch/gateway/GatewayContext.java
+++ b/src/main/java/carawayswitch/gateway/GatewayContext.java
@@ -78,6 +78,10 @@
 		return this.confirmed.get().age(Clocks.steadyMillis(), Clocks.wallMillis());
 	}
 
+	long shownConfigurationAge() {
+		return this.confirmed.get().shownAge(Clocks.steadyMillis(), Clocks.wallMillis());
+	}
+
 	PlainPool plainPool(String service) {
 		return this.plainPools.computeIfAbsent(service, (name) -> new PlainPool());
 	}
--- a/src/main/java/carawayswitch/gateway/GatewayHost.java
+++ b/src/main/java/carawayswitch/gateway/GatewayHost.java
@@ -206,7 +206,7 @@
 		metrics.gauge(Metric.PEER_BYTES, this.peers::sentBytes);
 		metrics.gauge(Metric.CONFIGURATION_VERSION,
 				() -> Optional.ofNullable(this.context.routes.get()).map(RouteTable::version).orElse(-1L));
-		metrics.gauge(Metric.CONFIGURATION_AGE, this.context::configurationAge);
+		metrics.gauge(Metric.CONFIGURATION_AGE, this.context::shownConfigurationAge);
 		metrics.gauge(Metric.PLACES_WAITING, this.context.placements::waitingCount);
 		metrics.gauge(Metric.PLACES_RUNNING, this.context.placements::runningCount);
 		metrics.gauge(Metric.ENDPOINT_CONNECTIONS, this.context.connections::opened);
@@ -298,7 +298,7 @@
 		if (now != this.ready) {
 			this.ready = now;
 			this.context.log.write(LogEvent.READINESS_CHANGED, "ready", now, "configuration_age_ms",
-					this.context.configurationAge(), "stopping", this.context.stopping());
+					this.context.shownConfigurationAge(), "stopping", this.context.stopping());
 		}
 		return now;
 	}
--- a/src/main/java/carawayswitch/gateway/StatusServer.java
+++ b/src/main/java/carawayswitch/gateway/StatusServer.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.function.Function;
 
 import io.activej.net.SimpleServer;
@@ -43,7 +44,7 @@
 	public void onRequest(ServerConnection connection, ReceivedRequest request) {
 		Answer answer = this.answers.apply(request.path());
 		connection.respond(answer.status(), new DefaultHttpHeaders().set(HttpHeaderNames.CONTENT_TYPE, "text/plain"),
-				answer.text().getBytes(java.nio.charset.StandardCharsets.UTF_8));
+				answer.text().getBytes(StandardCharsets.UTF_8));
 	}
 
 	@Override
--- a/src/main/java/carawayswitch/http/ClientConnection.java
+++ b/src/main/java/carawayswitch/http/ClientConnection.java
@@ -280,7 +280,7 @@
 	 */
 	boolean usable(long now, long maxIdleMillis) {
 		return !this.closed && this.listener == null && !this.inResponse
-				&& now - this.idleSince <= Math.min(maxIdleMillis, this.keepAliveMillis);
+				&& now - this.idleSince < Math.min(maxIdleMillis, this.keepAliveMillis);
 	}
 
 	boolean closed() {
--- a/src/main/java/carawayswitch/measure/PoolSimulation.java
+++ b/src/main/java/carawayswitch/measure/PoolSimulation.java
@@ -1,6 +1,7 @@
 package carawayswitch.measure;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -170,7 +171,7 @@
 		if (this.firstInFirstOut) {
 			this.engines.stream()
 				.filter((engine) -> !engine.lost())
-				.min(java.util.Comparator.comparingInt(FakeEngine::outstanding))
+				.min(Comparator.comparingInt(FakeEngine::outstanding))
 				.ifPresent((engine) -> send(attempt, engine));
 			return;
 		}
--- a/src/main/java/carawayswitch/metrics/Metric.java
+++ b/src/main/java/carawayswitch/metrics/Metric.java
@@ -59,7 +59,7 @@
 	CONFIGURATION_VERSION("version of the configuration in force"),
 
 	/** Time since the configuration was confirmed. */
-	CONFIGURATION_AGE("time since the configuration was confirmed in milliseconds"),
+	CONFIGURATION_AGE("time since the configuration was confirmed in milliseconds; -1 if not known"),
 
 	/** Requests that wait for a place in pools that this host owns. */
 	PLACES_WAITING("requests that wait for a place in owned pools"),
--- a/src/main/java/carawayswitch/platform/PlatformWireFormat.java
+++ b/src/main/java/carawayswitch/platform/PlatformWireFormat.java
@@ -1,5 +1,6 @@
 package carawayswitch.platform;
 
+import java.util.HashSet;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
@@ -133,7 +134,7 @@
 		if (value == null || value.equalsIgnoreCase("close") || value.equalsIgnoreCase("keep-alive")) {
 			return Set.of();
 		}
-		Set<String> names = new java.util.HashSet<>();
+		Set<String> names = new HashSet<>();
 		for (String name : value.split(",")) {
 			String lower = name.trim().toLowerCase(Locale.ROOT);
 			if (!lower.startsWith("x-") && !lower.equals("host") && !lower.equals("last-event-id")) {
--- a/src/main/java/carawayswitch/platform/StoreClient.java
+++ b/src/main/java/carawayswitch/platform/StoreClient.java
@@ -1,10 +1,13 @@
 package carawayswitch.platform;
 
+import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
+import java.net.URLEncoder;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Base64;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -179,7 +182,7 @@
 
 		private final SettablePromise<Answer> result;
 
-		private final java.io.ByteArrayOutputStream body = new java.io.ByteArrayOutputStream();
+		private final ByteArrayOutputStream body = new ByteArrayOutputStream();
 
 		private int status;
 
@@ -239,8 +242,7 @@
 		// again
 		// from the offset that the first page ends at.
 		private Promise<Page<T>> newestPage(String afterKey, Map<String, byte[]> values, long firstEnd, int page) {
-			String after = afterKey.isEmpty() ? ""
-					: "&after=" + java.net.URLEncoder.encode(afterKey, StandardCharsets.UTF_8);
+			String after = afterKey.isEmpty() ? "" : "&after=" + URLEncoder.encode(afterKey, StandardCharsets.UTF_8);
 			return call("GET", "/log-newest?topic=" + this.topic + "&part=0" + after, new byte[0], 0).then((answer) -> {
 				JsonNode tree = tree(answer);
 				String last = afterKey;
@@ -292,7 +294,7 @@
 				if (record.length >= 1 + keyLength) {
 					String key = new String(record, 1, keyLength, StandardCharsets.UTF_8);
 					values.remove(key);
-					values.put(key, java.util.Arrays.copyOfRange(record, 1 + keyLength, record.length));
+					values.put(key, Arrays.copyOfRange(record, 1 + keyLength, record.length));
 				}
 			}
 			return page(values, next);
--- a/src/main/java/carawayswitch/route/Confirmation.java
+++ b/src/main/java/carawayswitch/route/Confirmation.java
@@ -40,6 +40,17 @@
 		return (steadyNow - this.steadyMillis) - (wallNow - this.wallMillis) > STEP_BACK_MILLIS;
 	}
 
+	/**
+	 * Returns the age for people.
+	 * @param steadyNow steady time in milliseconds
+	 * @param wallNow time of day in milliseconds since the epoch
+	 * @return the age in milliseconds, or -1 if it is not known
+	 */
+	public long shownAge(long steadyNow, long wallNow) {
+		long age = age(steadyNow, wallNow);
+		return (age != UNKNOWN_AGE) ? age : -1;
+	}
+
 	/**
 	 * Returns the newer of two confirmations.
 	 * @param other another confirmation
--- a/src/main/java/carawayswitch/schedule/PoolScheduler.java
+++ b/src/main/java/carawayswitch/schedule/PoolScheduler.java
@@ -1,6 +1,7 @@
 package carawayswitch.schedule;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -125,7 +126,7 @@
 
 	/** Creates a scheduler without engines. */
 	public PoolScheduler() {
-		java.util.Arrays.fill(this.urgencySeenAt, Long.MIN_VALUE / 2);
+		Arrays.fill(this.urgencySeenAt, Long.MIN_VALUE / 2);
 	}
 
 	/**
--- a/src/main/java/carawayswitch/standin/PlatformStandIn.java
+++ b/src/main/java/carawayswitch/standin/PlatformStandIn.java
@@ -7,6 +7,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Base64;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -253,7 +254,7 @@
 			records.get(record);
 			int length = record[0];
 			append(topic, new String(record, 1, length, StandardCharsets.UTF_8),
-					java.util.Arrays.copyOfRange(record, 1 + length, record.length));
+					Arrays.copyOfRange(record, 1 + length, record.length));
 		}
 		if (this.fault.get() == Fault.LOSE_ANSWERS) {
 			return;
--- /dev/null
+++ b/src/test/java/carawayswitch/schedule/EndpointHealthTests.java
@@ -0,0 +1,102 @@
+package carawayswitch.schedule;
+
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of trust in endpoints that crash, fall silent, fail while they seem healthy, or
+ * come and go.
+ */
+class EndpointHealthTests {
+
+	private final EndpointHealth health = new EndpointHealth();
+
+	@Test
+	void unreachableEndpointIsPausedAndTriedAgainLaterEachTime() {
+		long now = 0;
+		long lastPause = 0;
+		for (int i = 0; i < 3; i++) {
+			this.health.ended(AttemptResult.UNREACHABLE, now);
+			long pause = 0;
+			while (!this.health.trusted(now + pause)) {
+				pause += 10;
+			}
+			assertThat(pause).isGreaterThan(lastPause).isLessThanOrEqualTo(EndpointHealth.MAX_PAUSE_MILLIS);
+			lastPause = pause;
+			now += pause;
+		}
+	}
+
+	@Test
+	void silentEndpointGetsOneTrialAfterThePause() {
+		this.health.overdue(0);
+		assertThat(this.health.trusted(EndpointHealth.FIRST_PAUSE_MILLIS)).isFalse();
+		assertThat(this.health.triable(EndpointHealth.FIRST_PAUSE_MILLIS - 1)).isFalse();
+		assertThat(this.health.triable(EndpointHealth.FIRST_PAUSE_MILLIS)).isTrue();
+		this.health.tried(EndpointHealth.FIRST_PAUSE_MILLIS);
+		assertThat(this.health.triable(EndpointHealth.FIRST_PAUSE_MILLIS + 1)).isFalse();
+	}
+
+	@Test
+	void answerRestoresTrustAtOnce() {
+		this.health.overdue(0);
+		this.health.trust();
+		assertThat(this.health.trusted(1)).isTrue();
+	}
+
+	@Test
+	void endpointThatFailsMostRequestsIsPausedAndOneThatFailsAFewOnlyCostsMore() {
+		for (int i = 0; i < 20; i++) {
+			this.health.ended((i % 4 == 0) ? AttemptResult.FAILED : AttemptResult.ANSWERED, i);
+		}
+		assertThat(this.health.trusted(20)).isTrue();
+		assertThat(this.health.penalty()).isGreaterThan(1);
+		for (int i = 20; i < 24; i++) {
+			this.health.ended(AttemptResult.FAILED, i);
+		}
+		assertThat(this.health.trusted(24)).isFalse();
+	}
+
+	@Test
+	void leavingClientsTellNothingOfTheEndpoint() {
+		for (int i = 0; i < 20; i++) {
+			this.health.ended(AttemptResult.ABANDONED, i);
+		}
+		assertThat(this.health.trusted(20)).isTrue();
+		assertThat(this.health.penalty()).isEqualTo(1);
+	}
+
+	@ParameterizedTest
+	@EnumSource(value = AttemptResult.class, names = { "UNREACHABLE", "LOST" })
+	void plainPoolAvoidsAnEndpointThatDoesNotAnswer(AttemptResult result) {
+		PlainPool pool = new PlainPool();
+		SplittableRandom random = new SplittableRandom(1);
+		int broken = 0;
+		for (int i = 0; i < 60; i++) {
+			String chosen = pool.choose(List.of("a", "b", "c"), Set.of(), "r" + i, random, i * 10);
+			boolean bad = chosen.equals("b");
+			broken += bad ? 1 : 0;
+			pool.ended(chosen, "r" + i, bad ? result : AttemptResult.ANSWERED, i * 10);
+		}
+		assertThat(broken).isLessThan(8);
+	}
+
+	@Test
+	void plainPoolUsesAnExcludedEndpointOnlyWhenNoOtherIsLeft() {
+		PlainPool pool = new PlainPool();
+		SplittableRandom random = new SplittableRandom(1);
+		for (int i = 0; i < 20; i++) {
+			assertThat(pool.choose(List.of("a", "b"), Set.of("a"), "r" + i, random, 0)).isEqualTo("b");
+		}
+		assertThat(pool.choose(List.of("a"), Set.of("a"), "last", random, 0)).isEqualTo("a");
+		assertThat(pool.choose(List.of(), Set.of(), "none", random, 0)).isNull();
+	}
+
+}
