Pool: large requests are judged by their wait as small ones are; the fastest engine is looked up once for a moment

Cause (found in reading): a prompt that no engine reads within its objective counted as late whatever its wait, and was refused at once in overload, while small requests were served.

Change: the time to a first event counts for 0.6 of the objective at most when work is judged. The test largeRequestThatNoEngineReadsInTimeWaitsLikeASmallOne failed before. The fastest engine, which each estimate asks for, is kept for the present millisecond.

--- a/src/main/java/carawayswitch/schedule/PoolScheduler.java
+++ b/src/main/java/carawayswitch/schedule/PoolScheduler.java
@@ -80,6 +80,9 @@
 	 */
 	static final double RETRY_SHARE = 0.32;
 
+	/** Most of an objective that the time to a first event takes when work is judged. */
+	static final double MAX_FIRST_EVENT_SHARE = 0.6;
+
 	/**
 	 * Factor on an estimated wait; what comes meanwhile and is more urgent adds to it.
 	 */
@@ -122,6 +125,11 @@
 
 	private final long[] urgencySeenAt = new long[Tier.URGENCIES];
 
+	/** The fastest usable engine at {@link #fastestAt}, which many decisions ask for. */
+	private EngineLoad fastest;
+
+	private long fastestAt = Long.MIN_VALUE;
+
 	private final List<PoolDecision> refusals = new ArrayList<>();
 
 	/** Creates a scheduler without engines. */
@@ -134,6 +142,7 @@
 	 * @param accepting the engines
 	 */
 	public void engines(Collection<PoolEngine> accepting) {
+		forgetFastest();
 		Set<String> ids = new HashSet<>();
 		for (PoolEngine engine : accepting) {
 			ids.add(engine.id());
@@ -169,7 +178,7 @@
 		double wait = waitMillis(work, this.queue, now);
 		double lateWait = wait + waitMillis(work, this.late, now);
 		double patience = (work.deadlineMillis() - now) * MAX_WAIT_SHARE;
-		boolean onTime = now + wait * WAIT_MARGIN + fastestFirstEvent(work, now) <= demand.objectiveAt();
+		boolean onTime = now + wait * WAIT_MARGIN + neededMillis(demand, now) <= demand.objectiveAt();
 		if (onTime) {
 			admit(this.queue, demand, false);
 		}
@@ -241,18 +250,30 @@
 	}
 
 	private EngineLoad fastest(long now) {
-		EngineLoad fastest = null;
-		for (EngineLoad load : this.engines.values()) {
-			if (load.usable(now) && (fastest == null || load.speed.tokenMillis() < fastest.speed.tokenMillis())) {
-				fastest = load;
+		if (now != this.fastestAt) {
+			this.fastestAt = now;
+			this.fastest = null;
+			for (EngineLoad load : this.engines.values()) {
+				if (load.usable(now)
+						&& (this.fastest == null || load.speed.tokenMillis() < this.fastest.speed.tokenMillis())) {
+					this.fastest = load;
+				}
 			}
 		}
-		return fastest;
+		return this.fastest;
+	}
+
+	private void forgetFastest() {
+		this.fastestAt = Long.MIN_VALUE;
 	}
 
-	private double fastestFirstEvent(Work work, long now) {
+	// Time that must be left for a first event on time. A prompt that no engine reads in
+	// time
+	// is given the chance of the others: large requests are served as small ones are.
+	private double neededMillis(PoolDemand demand, long now) {
 		EngineLoad fastest = fastest(now);
-		return (fastest != null) ? fastest.speed.firstEventMillis(work.promptTokens()) : 0;
+		double first = (fastest != null) ? fastest.speed.firstEventMillis(demand.work().promptTokens()) : 0;
+		return Math.min(first, (demand.objectiveAt() - demand.work().arrivalMillis()) * MAX_FIRST_EVENT_SHARE);
 	}
 
 	// Slots of the fastest engine that could do what all usable engines can do.
@@ -404,6 +425,7 @@
 
 	private PoolDecision start(PoolDemand demand, EngineLoad load, long now) {
 		if (!load.health.trusted(now)) {
+			forgetFastest();
 			load.health.tried(now);
 		}
 		double expected = load.speed.firstEventMillis(load.promptBacklog() + demand.work().promptTokens());
@@ -423,8 +445,7 @@
 				forget(work.id());
 				refuse(demand, advised, hopeless ? "late_in_overload" : "waited_too_long", now);
 			}
-			else if (now + fastestFirstEvent(work, now) > demand.objectiveAt()
-					&& this.queue.remove(work.id()) != null) {
+			else if (now + neededMillis(demand, now) > demand.objectiveAt() && this.queue.remove(work.id()) != null) {
 				this.late.add(work);
 			}
 		}
@@ -442,6 +463,7 @@
 				double limit = attempt.expectedMillis * OVERDUE_FACTOR + OVERDUE_MILLIS;
 				if (!attempt.started && now - attempt.startedAt > limit) {
 					load.health.overdue(now);
+					forgetFastest();
 				}
 			}
 		}
@@ -456,6 +478,7 @@
 		Running attempt = this.running.get(id);
 		EngineLoad load = (attempt != null) ? this.engines.get(attempt.engine) : null;
 		if (load != null && !attempt.started) {
+			forgetFastest();
 			attempt.started = true;
 			load.health.trust();
 			load.speed.onFirstEvent(attempt.backlog + attempt.demand.work().promptTokens(), millis);
@@ -477,6 +500,7 @@
 		}
 		EngineLoad load = this.engines.get(attempt.engine);
 		if (load != null) {
+			forgetFastest();
 			load.running.remove(id);
 			load.health.ended(result, now);
 			load.speed.onStream(outputTokens, streamMillis);
--- a/src/test/java/carawayswitch/schedule/PoolSchedulerTests.java
+++ b/src/test/java/carawayswitch/schedule/PoolSchedulerTests.java
@@ -120,6 +120,24 @@
 		assertThat(last.get(0).retryAfterMillis()).isGreaterThanOrEqualTo(PoolScheduler.MIN_RETRY_MILLIS);
 	}
 
+	@Test
+	void largeRequestThatNoEngineReadsInTimeWaitsLikeASmallOne() {
+		engines("e1");
+		for (int i = 0; i < 8; i++) {
+			offer(demand(URGENT, "o", 0), 0);
+		}
+		this.scheduler.ended("w0", AttemptResult.ANSWERED, 100, 50, 100);
+		this.scheduler.decide(100);
+		Work large = new Work("large", URGENT, "report", 1, "other", 1, PressurePolicy.WAIT, 100_000, 0, 0, 100, 0, 100,
+				3100);
+		PoolDemand demand = new PoolDemand(large, "host", "a", 1100, Set.of(), 15_000, "");
+		assertThat(offer(demand, 100)).isEmpty();
+		assertThat(this.scheduler.waitingCount()).isPositive();
+		this.scheduler.ended("w1", AttemptResult.ANSWERED, 100, 50, 110);
+		this.scheduler.ended("w2", AttemptResult.ANSWERED, 100, 50, 110);
+		assertThat(grants(this.scheduler.decide(110))).contains("large");
+	}
+
 	@Test
 	void floodOfOneOrganisationWaitsBehindItself() {
 		engines("e1");
