--- a/src/main/java/carawayswitch/gateway/Exchange.java
+++ b/src/main/java/carawayswitch/gateway/Exchange.java
@@ -58,7 +58,7 @@
 	/** Endpoints to which a request is sent at most while none has run it. */
 	private static final int MAX_SENDS = 4;
 
-	/** Events after which an answer is held back no more. */
+	/** Bytes that a client has not accepted beyond which no more of an answer is read. */
 	private static final long MAX_UNWRITTEN_BYTES = 256 * 1024;
 
 	private static final long UNWRITTEN_CHECK_MILLIS = 20;
@@ -83,7 +83,7 @@
 	private static final double WAIT_SHARE = 0.7;
 
 	/**
-	 * Silence in milliseconds, beyond four objectives, after which an answer that may be
+	 * Silence in milliseconds, beyond two objectives, after which an answer that may be
 	 * repeated is asked for elsewhere.
 	 */
 	private static final long SILENCE_MILLIS = 1000;
@@ -443,7 +443,7 @@
 		void start(HttpRequestParts parts, ConnectionPool.Options options) {
 			this.call = Exchange.this.context.connections.send(this.endpoint.address(), parts, options, this);
 			if (Exchange.this.route.repeatable() && Exchange.this.current == this) {
-				long limit = SILENCE_MILLIS + PATIENCE_OBJECTIVES * Exchange.this.route.objectiveMillis() / 2;
+				long limit = SILENCE_MILLIS + 2 * Exchange.this.route.objectiveMillis();
 				this.silence = Exchange.this.context.reactor.delay(limit, this::onSilence);
 			}
 		}
