Gateway: code that nothing calls is gone; a connection forgets its exchange in one step

Found in the last reading: BeliefFollower could be stopped and asked for its confirmation, which nobody does; FrontServer took the end of an exchange out of its map in two steps and a third after a close, where one replacement serves.

--- a/src/main/java/carawayswitch/gateway/BeliefFollower.java
+++ b/src/main/java/carawayswitch/gateway/BeliefFollower.java
@@ -41,8 +41,6 @@
 
 	private boolean failing;
 
-	private boolean stopped;
-
 	private boolean confirming;
 
 	private Confirmation confirmed = Confirmation.NONE;
@@ -62,9 +60,6 @@
 	}
 
 	private void read() {
-		if (this.stopped) {
-			return;
-		}
 		Confirmation sent = new Confirmation(Clocks.steadyMillis(), Clocks.wallMillis());
 		boolean whole = this.nextOffset < 0;
 		(whole ? this.source.newest() : this.source.after(this.nextOffset, this.pace.waitMillis()))
@@ -114,7 +109,7 @@
 	 * become large or unknown.
 	 */
 	void confirmNow() {
-		if (this.confirming || this.stopped || this.nextOffset < 0) {
+		if (this.confirming || this.nextOffset < 0) {
 			return;
 		}
 		this.confirming = true;
@@ -132,14 +127,6 @@
 		this.reactor.delayBackground(millis, this::read);
 	}
 
-	void stop() {
-		this.stopped = true;
-	}
-
-	Confirmation confirmed() {
-		return this.confirmed;
-	}
-
 	/**
 	 * How often records are read. Immutable.
 	 *
--- a/src/main/java/carawayswitch/gateway/FrontServer.java
+++ b/src/main/java/carawayswitch/gateway/FrontServer.java
@@ -75,8 +75,7 @@
 		Exchange[] holder = new Exchange[1];
 		holder[0] = new Exchange(this.context, connection, request, () -> {
 			this.active--;
-			this.connections.computeIfPresent(connection, (key, exchange) -> (exchange == holder[0]) ? null : exchange);
-			this.connections.putIfAbsent(connection, null);
+			this.connections.replace(connection, holder[0], null);
 		});
 		this.connections.put(connection, holder[0]);
 		holder[0].start(Clocks.steadyMillis());
@@ -93,7 +92,6 @@
 		Exchange exchange = this.connections.remove(connection);
 		if (exchange != null) {
 			exchange.onClientGone();
-			this.connections.remove(connection);
 		}
 	}
 
