Hosts: beats of large fleets go to two leaders, which are the largest hosts; replies travel on the asker's connection

The owner of the pools was chosen by hash, and so mostly on a host of 0.36 cores. A host of higher rank that joined was learnt of by reading the directory, every 6 s. Change: PeerView holds what follows from the beats, without I/O: ranking by processor time and then by hash, beats down the ranking until two live hosts were met, leaders named in each reply. Replies use the connection of the request, and take the place of probes. A former owner names its successor for a second. Placements are looked at only while something waits. Ruled out: gossip among all (an owner's death is noticed in twice the time), a group of the store (its calls are priced).

--- a/src/main/java/carawayswitch/gateway/GatewayHost.java
+++ b/src/main/java/carawayswitch/gateway/GatewayHost.java
@@ -128,7 +128,7 @@
 				new PoolOwner(settings.bounds().capSlack(), settings.bounds().capExcess()));
 		this.context = new GatewayContext(loop, settings, wire, pool, placements, log, new HostMetrics());
 		this.platform = platforms.apply(loop, pool);
-		this.self = new HostRecord(settings.host(), "", settings.zone(), Clocks.wallMillis());
+		this.self = new HostRecord(settings.host(), "", settings.zone(), Clocks.wallMillis(), settings.capacity());
 		this.peers = new GatewayPeers(loop, this.self, settings.clusterName(), log, placements);
 		this.context.peers = this.peers;
 		this.front = new FrontServer(this.context);
@@ -272,7 +272,7 @@
 	}
 
 	private void onDirectory(BeliefFollower.Update<HostRecord> update) {
-		this.peers.known(update.entries().values().stream().flatMap(Optional::stream).toList(), Clocks.steadyMillis());
+		this.peers.known(update.entries(), Clocks.steadyMillis());
 	}
 
 	private void watch() {
--- a/src/main/java/carawayswitch/gateway/GatewayPeers.java
+++ b/src/main/java/carawayswitch/gateway/GatewayPeers.java
@@ -2,17 +2,13 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
-import java.util.TreeSet;
 
 import io.activej.reactor.nio.NioReactor;
-import org.apache.commons.codec.digest.MurmurHash3;
 
 import carawayswitch.log.DecisionLog;
 import carawayswitch.log.LogEvent;
@@ -23,39 +19,21 @@
 import carawayswitch.transport.PeerTransport;
 
 /**
- * The other gateway hosts: finds them in the directory, notices by beats which are alive,
- * and names the owner of the pools by rendezvous hashing over the live ones. Views of two
- * hosts may differ for a while; nothing that must not happen twice depends on them.
- * Confined to the thread of its event loop.
+ * The other gateway hosts: finds them in the directory, exchanges beats with them and
+ * tells its listener what follows. Views of two hosts may differ for a while; nothing
+ * that must not happen twice depends on them. Confined to the thread of its event loop.
  */
 final class GatewayPeers implements PeerHandler {
 
 	/** Time between two beats in milliseconds. */
 	static final long BEAT_MILLIS = 250;
 
-	/** Silence in milliseconds after which a host counts as dead; three lost beats. */
-	static final long DEAD_AFTER_MILLIS = 900;
-
-	/**
-	 * Time in milliseconds for which a host that was never heard of is still tried. Hosts
-	 * that start at once read each other's records before the others listen.
-	 */
-	static final long TRY_MILLIS = 20_000;
-
 	/** Silence in milliseconds after which a probed connection is replaced. */
 	private static final long SILENCE_MILLIS = 700;
 
-	/**
-	 * Hosts to which beats are sent: the owner of the pools and those that would follow
-	 * it. In a fleet of up to one more, every host knows every other one.
-	 */
-	static final int CANDIDATES = 7;
-
-	private static final String OWNER_KEY = "pools/";
-
 	private final NioReactor reactor;
 
-	private HostRecord self;
+	private final PeerView view;
 
 	private final PeerTransport transport;
 
@@ -63,22 +41,13 @@
 
 	private final Listener listener;
 
-	private final Map<String, Peer> peers = new HashMap<>();
-
-	private Set<String> live = new TreeSet<>();
-
-	private boolean leaving;
-
-	private int largestSeen = 1;
-
 	GatewayPeers(NioReactor reactor, HostRecord self, String clusterName, DecisionLog log, Listener listener) {
 		this.reactor = reactor;
-		this.self = self;
+		this.view = new PeerView(self);
 		this.log = log;
 		this.listener = listener;
-		this.live.add(self.host());
 		this.transport = new PeerTransport(reactor, new PeerIdentity(self.host(), self.incarnation(), clusterName),
-				new PeerTransport.Times(BEAT_MILLIS, SILENCE_MILLIS), this::address, this);
+				new PeerTransport.Times(BEAT_MILLIS, SILENCE_MILLIS), this.view::address, this);
 	}
 
 	/**
@@ -89,93 +58,43 @@
 	 */
 	HostRecord start(InetSocketAddress address) throws IOException {
 		InetSocketAddress bound = this.transport.listen(address);
-		this.self = new HostRecord(this.self.host(), bound.getAddress().getHostAddress() + ":" + bound.getPort(),
-				this.self.zone(), this.self.incarnation());
+		HostRecord before = this.view.self();
+		this.view.self(new HostRecord(before.host(), bound.getAddress().getHostAddress() + ":" + bound.getPort(),
+				before.zone(), before.incarnation(), before.capacity()));
 		beat();
-		return this.self;
-	}
-
-	private String address(String host) {
-		Peer peer = this.peers.get(host);
-		return (peer != null) ? peer.address : "";
+		return this.view.self();
 	}
 
 	/**
 	 * Takes in records of the directory.
-	 * @param records the records
+	 * @param records newest record of each host that was read; empty for a removed one
 	 * @param now steady time in milliseconds
 	 */
-	void known(Iterable<HostRecord> records, long now) {
-		for (HostRecord record : records) {
-			if (!record.host().equals(this.self.host())) {
-				Peer peer = this.peers.computeIfAbsent(record.host(), (key) -> new Peer());
-				if (record.incarnation() != peer.incarnation && !peer.alive(now)) {
-					peer.incarnation = record.incarnation();
-					peer.address = record.address();
-					peer.zone = record.zone();
-					peer.learntAt = now;
-				}
-			}
-		}
+	void known(Map<String, Optional<HostRecord>> records, long now) {
+		records.forEach((host, record) -> record.ifPresentOrElse((present) -> this.view.known(present, now),
+				() -> this.view.removed(host, now)));
 	}
 
 	private void beat() {
 		long now = Clocks.steadyMillis();
-		candidates(now).forEach((host) -> this.transport.send(host, message(false)));
+		this.view.targets(now).forEach((host) -> this.transport.send(host, message(false, now)));
 		refresh(now);
 		this.reactor.delayBackground(BEAT_MILLIS, this::beat);
 	}
 
-	private GatewayBeat message(boolean reply) {
-		return new GatewayBeat(this.self.host(), this.self.incarnation(), this.self.address(), this.self.zone(),
-				this.leaving, reply);
-	}
-
-	// The hosts that may own the pools now or next. Only they need to know all others.
-	private List<String> candidates(long now) {
-		return this.peers.entrySet()
-			.stream()
-			.filter((each) -> now - Math.max(each.getValue().heardAt, each.getValue().learntAt) < TRY_MILLIS)
-			.map(Map.Entry::getKey)
-			.sorted(Comparator.comparingLong(GatewayPeers::rank).reversed())
-			.limit(CANDIDATES)
-			.toList();
-	}
-
-	private static long rank(String host) {
-		return MurmurHash3.hash128x64((OWNER_KEY + host).getBytes(StandardCharsets.UTF_8))[0];
+	private GatewayBeat message(boolean reply, long now) {
+		HostRecord self = this.view.self();
+		return new GatewayBeat(self.host(), self.incarnation(), self.address(), self.zone(), this.view.leaving(), reply,
+				self.capacity(), reply ? this.view.leaders(now).stream().map(HostRecord::member).toList() : List.of());
 	}
 
 	private void refresh(long now) {
-		Set<String> current = new TreeSet<>();
-		if (!this.leaving) {
-			current.add(this.self.host());
-		}
-		this.peers.forEach((host, peer) -> {
-			if (peer.alive(now) && !peer.leaving) {
-				current.add(host);
-			}
-		});
-		if (current.isEmpty()) {
-			current.add(this.self.host());
-		}
-		this.largestSeen = Math.max(this.largestSeen, Math.max(current.size(), known(now)));
-		if (!current.equals(this.live)) {
-			Set<String> before = this.live;
-			this.live = current;
-			this.log.write(LogEvent.VIEW_CHANGED, "live", current.size(), "hosts", String.join(",", current));
-			List<String> lost = new ArrayList<>(before);
-			lost.removeAll(current);
+		this.view.refresh(now).ifPresent((lost) -> {
+			List<String> live = this.view.live();
+			this.log.write(LogEvent.VIEW_CHANGED, "live", live.size(), "lost", String.join(",", lost), "owner",
+					this.view.owner());
 			this.listener.onViewChanged(lost);
-		}
-	}
-
-	// Hosts that the directory or a beat has told of lately, this one included.
-	private int known(long now) {
-		return 1 + (int) this.peers.values()
-			.stream()
-			.filter((peer) -> now - Math.max(peer.heardAt, peer.learntAt) < TRY_MILLIS)
-			.count();
+		});
 	}
 
 	@Override
@@ -190,24 +109,31 @@
 	}
 
 	private void onBeat(GatewayBeat beat, long now) {
-		Peer peer = this.peers.computeIfAbsent(beat.host(), (key) -> new Peer());
-		if (beat.incarnation() < peer.incarnation && peer.alive(now)) {
-			return;
-		}
-		if (beat.incarnation() != peer.incarnation && peer.alive(now)) {
+		List<String> before = this.view.targets(now);
+		if (this.view.heard(beat, now)) {
 			this.listener.onViewChanged(List.of(beat.host()));
 		}
-		peer.incarnation = beat.incarnation();
-		peer.address = beat.address();
-		peer.zone = beat.zone();
-		peer.leaving = beat.leaving();
-		peer.heardAt = now;
-		if (!beat.reply() && !candidates(now).contains(beat.host())) {
-			this.transport.send(beat.host(), message(true));
+		if (!beat.reply()) {
+			this.transport.reply(beat.host(), message(true, now));
+		}
+		else {
+			// A leader that was unknown so far is met at once and not at the next beat.
+			List<String> after = new ArrayList<>(this.view.targets(now));
+			after.removeAll(before);
+			after.forEach((host) -> this.transport.send(host, message(false, now)));
 		}
 		refresh(now);
 	}
 
+	/**
+	 * Names the live hosts of the highest ranks to a host that takes this one for the
+	 * owner of the pools.
+	 * @param host id of the host
+	 */
+	void nameLeaders(String host) {
+		this.transport.reply(host, message(true, Clocks.steadyMillis()));
+	}
+
 	@Override
 	public Set<String> awaitedPeers() {
 		return this.listener.awaitedPeers();
@@ -215,47 +141,46 @@
 
 	@Override
 	public void onPeerLost(String host) {
-		Peer peer = this.peers.get(host);
-		if (peer != null) {
-			peer.heardAt = Peer.NEVER;
-			refresh(Clocks.steadyMillis());
-		}
+		long now = Clocks.steadyMillis();
+		this.view.lost(host, now);
+		refresh(now);
 	}
 
-	/**
-	 * Returns the owner of the pools and of the caps of organisations.
-	 * @return id of the host
-	 */
 	String owner() {
-		return this.live.stream().max(Comparator.comparingLong(GatewayPeers::rank)).orElse(this.self.host());
+		return this.view.owner();
 	}
 
 	void send(String host, Message message) {
 		this.transport.send(host, message);
 	}
 
+	/**
+	 * Sends a message to a host that has sent one.
+	 * @param host id of the host
+	 * @param message the message
+	 */
+	void reply(String host, Message message) {
+		this.transport.reply(host, message);
+	}
+
 	/**
 	 * Announces that this host stops, so that it owns nothing any more.
 	 */
 	void leave() {
-		this.leaving = true;
+		this.view.leave();
 		refresh(Clocks.steadyMillis());
 	}
 
 	String self() {
-		return this.self.host();
+		return this.view.self().host();
 	}
 
-	/**
-	 * Returns the largest number of hosts that this host has known at once.
-	 * @return the number
-	 */
 	int largestSeen() {
-		return this.largestSeen;
+		return this.view.largestSeen();
 	}
 
 	int liveCount() {
-		return this.live.size();
+		return this.view.live().size();
 	}
 
 	long sentBytes() {
@@ -289,29 +214,4 @@
 
 	}
 
-	/**
-	 * Another host. Confined to its owner.
-	 */
-	private static final class Peer {
-
-		static final long NEVER = Long.MIN_VALUE / 4;
-
-		String address = "";
-
-		String zone = "";
-
-		long incarnation;
-
-		long learntAt = NEVER;
-
-		long heardAt = NEVER;
-
-		boolean leaving;
-
-		boolean alive(long now) {
-			return now - this.heardAt < DEAD_AFTER_MILLIS;
-		}
-
-	}
-
 }
--- a/src/main/java/carawayswitch/gateway/GatewaySettings.java
+++ b/src/main/java/carawayswitch/gateway/GatewaySettings.java
@@ -13,10 +13,11 @@
  * @param readiness address for readiness questions
  * @param internal address for other hosts
  * @param store address of the platform's store
+ * @param capacity processor time of this host in thousandths of a core
  * @param bounds times and shares that the deployment promises
  */
 public record GatewaySettings(String host, String zone, InetSocketAddress front, InetSocketAddress readiness,
-		InetSocketAddress internal, InetSocketAddress store, Bounds bounds) {
+		InetSocketAddress internal, InetSocketAddress store, int capacity, Bounds bounds) {
 
 	/**
 	 * Returns the name that hosts of one deployment share: those that use one store
--- a/src/main/java/carawayswitch/gateway/HostRecord.java
+++ b/src/main/java/carawayswitch/gateway/HostRecord.java
@@ -1,5 +1,7 @@
 package carawayswitch.gateway;
 
+import carawayswitch.message.GatewayMember;
+
 /**
  * Where a gateway host listens for others. Immutable.
  *
@@ -7,7 +9,16 @@
  * @param address internal address, as IP:PORT
  * @param zone availability zone
  * @param incarnation incarnation number
+ * @param capacity processor time of the host in thousandths of a core
  */
-public record HostRecord(String host, String address, String zone, long incarnation) {
+public record HostRecord(String host, String address, String zone, long incarnation, int capacity) {
+
+	static HostRecord of(GatewayMember member) {
+		return new HostRecord(member.host(), member.address(), member.zone(), member.incarnation(), member.capacity());
+	}
+
+	GatewayMember member() {
+		return new GatewayMember(this.host, this.incarnation, this.address, this.zone, this.capacity);
+	}
 
 }
--- /dev/null
+++ b/src/main/java/carawayswitch/gateway/PeerView.java
@@ -0,0 +1,327 @@
+package carawayswitch.gateway;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import org.apache.commons.codec.digest.MurmurHash3;
+
+import carawayswitch.message.GatewayBeat;
+
+/**
+ * What a gateway host knows of the others, and what follows from it: which are live, who
+ * owns the pools, whom to send beats to. Hosts are ranked by their processor time, then
+ * by rendezvous hashing; the live host of the highest rank owns the pools. In a small
+ * fleet every host sends beats to every other one. In a larger one beats go down the
+ * ranking until two live hosts were met, so that the traffic grows with the number of
+ * hosts and not with its square. Invariants:
+ * <ul>
+ * <li>A host is live only while it was heard of within the dead time.</li>
+ * <li>A live host that is named by a leader is sent beats by all others shortly
+ * after.</li>
+ * </ul>
+ * Times are steady milliseconds. Does no I/O. Not safe for use by several threads.
+ */
+final class PeerView {
+
+	/** Silence in milliseconds after which a host counts as dead; three lost beats. */
+	static final long DEAD_AFTER_MILLIS = 900;
+
+	/** Largest number of hosts in which every host sends beats to every other one. */
+	static final int SMALL_FLEET = 8;
+
+	/**
+	 * Live hosts of the highest ranks that receive beats: the owner and its successor.
+	 */
+	static final int LEADERS = 2;
+
+	/** Most hosts that receive beats in a large fleet, dead ones included. */
+	static final int MAX_TARGETS = 16;
+
+	/**
+	 * Time in milliseconds for which a silent host is sent beats; longer than an attempt
+	 * to connect.
+	 */
+	static final long TEST_MILLIS = 1500;
+
+	/**
+	 * Pause in milliseconds until a host that stayed silent is tested again; a process
+	 * that was restarted is back by then.
+	 */
+	static final long TEST_PAUSE_MILLIS = 3000;
+
+	private static final String OWNER_KEY = "pools/";
+
+	/** Highest rank first. */
+	private static final Comparator<Peer> BY_RANK = Comparator.<Peer>comparingInt((peer) -> peer.record.capacity())
+		.thenComparingLong((peer) -> peer.hash)
+		.thenComparing((peer) -> peer.record.host())
+		.reversed();
+
+	private final Map<String, Peer> peers = new HashMap<>();
+
+	private Peer self;
+
+	private List<Peer> ranked = List.of();
+
+	private TreeMap<String, Peer> live = new TreeMap<>();
+
+	private boolean leaving;
+
+	private int largestSeen = 1;
+
+	PeerView(HostRecord self) {
+		self(self);
+		this.live.put(self.host(), this.self);
+	}
+
+	/**
+	 * Replaces what this host tells of itself.
+	 * @param record the record of this host
+	 */
+	void self(HostRecord record) {
+		this.self = new Peer(record);
+		this.live.replace(record.host(), this.self);
+	}
+
+	HostRecord self() {
+		return this.self.record;
+	}
+
+	/**
+	 * Takes in a record of the directory.
+	 * @param record the record
+	 * @param now steady time in milliseconds
+	 */
+	void known(HostRecord record, long now) {
+		Peer peer = this.peers.get(record.host());
+		boolean replaces = peer == null || (record.incarnation() != peer.record.incarnation() && !peer.alive(now));
+		if (!record.host().equals(this.self.record.host()) && replaces) {
+			put(new Peer(record));
+		}
+	}
+
+	// A host that another one has just heard of is worth a test.
+	private void passedOn(HostRecord record, long now) {
+		known(record, now);
+		Peer peer = this.peers.get(record.host());
+		if (peer != null && !peer.alive(now) && now >= peer.testUntil) {
+			peer.testUntil = 0;
+		}
+	}
+
+	/**
+	 * Forgets a host whose record was removed from the directory, unless it is live.
+	 * @param host id of the host
+	 * @param now steady time in milliseconds
+	 */
+	void removed(String host, long now) {
+		Peer peer = this.peers.get(host);
+		if (peer != null && !peer.alive(now)) {
+			this.peers.remove(host);
+			rank();
+		}
+	}
+
+	private void put(Peer peer) {
+		this.peers.put(peer.record.host(), peer);
+		this.largestSeen = Math.max(this.largestSeen, 1 + this.peers.size());
+		rank();
+	}
+
+	private void rank() {
+		this.ranked = this.peers.values().stream().sorted(BY_RANK).toList();
+	}
+
+	/**
+	 * Takes in a beat.
+	 * @param beat the beat
+	 * @param now steady time in milliseconds
+	 * @return true if the host was restarted since it was heard of last
+	 */
+	boolean heard(GatewayBeat beat, long now) {
+		Peer peer = this.peers.get(beat.host());
+		boolean alive = peer != null && peer.alive(now);
+		if (alive && beat.incarnation() < peer.record.incarnation()) {
+			return false;
+		}
+		boolean restarted = alive && beat.incarnation() != peer.record.incarnation();
+		HostRecord record = new HostRecord(beat.host(), beat.address(), beat.zone(), beat.incarnation(),
+				beat.capacity());
+		if (peer == null || !peer.record.equals(record)) {
+			peer = new Peer(record);
+			put(peer);
+		}
+		peer.heardAt = now;
+		peer.leaving = beat.leaving();
+		peer.testUntil = 0;
+		beat.leaders().forEach((leader) -> passedOn(HostRecord.of(leader), now));
+		return restarted;
+	}
+
+	/**
+	 * Takes a host for dead until it is heard of again.
+	 * @param host id of the host
+	 * @param now steady time in milliseconds
+	 */
+	void lost(String host, long now) {
+		Peer peer = this.peers.get(host);
+		if (peer != null && peer.alive(now)) {
+			// The connection may be gone and not the host.
+			peer.heardAt = Peer.NEVER;
+			peer.testUntil = 0;
+		}
+		else if (peer != null && peer.testUntil > now) {
+			peer.testUntil = now;
+		}
+	}
+
+	/** Makes this host one that owns nothing. */
+	void leave() {
+		this.leaving = true;
+	}
+
+	boolean leaving() {
+		return this.leaving;
+	}
+
+	/**
+	 * Returns the hosts that are sent beats now.
+	 * @param now steady time in milliseconds
+	 * @return ids of the hosts
+	 */
+	List<String> targets(long now) {
+		boolean small = this.peers.size() < SMALL_FLEET;
+		List<String> targets = new ArrayList<>();
+		int met = 0;
+		for (Peer peer : this.ranked) {
+			boolean enough = met == LEADERS || targets.size() == MAX_TARGETS;
+			if (enough && !small) {
+				break;
+			}
+			if (peer.alive(now) || peer.testable(now)) {
+				targets.add(peer.record.host());
+				met += (peer.alive(now) && !peer.leaving) ? 1 : 0;
+			}
+		}
+		return targets;
+	}
+
+	/**
+	 * Returns the live hosts of the highest ranks, this one included.
+	 * @param now steady time in milliseconds
+	 * @return records of the hosts
+	 */
+	List<HostRecord> leaders(long now) {
+		List<Peer> known = new ArrayList<>(this.ranked);
+		if (!this.leaving) {
+			known.add(this.self);
+			known.sort(BY_RANK);
+		}
+		return known.stream()
+			.filter((peer) -> peer == this.self || (peer.alive(now) && !peer.leaving))
+			.limit(LEADERS)
+			.map((peer) -> peer.record)
+			.toList();
+	}
+
+	/**
+	 * Looks again at who is live.
+	 * @param now steady time in milliseconds
+	 * @return ids of hosts that are no longer live, or nothing if no host has come or
+	 * gone
+	 */
+	Optional<List<String>> refresh(long now) {
+		TreeMap<String, Peer> current = new TreeMap<>();
+		this.peers.forEach((host, peer) -> {
+			if (peer.alive(now) && !peer.leaving) {
+				current.put(host, peer);
+			}
+		});
+		if (!this.leaving || current.isEmpty()) {
+			current.put(this.self.record.host(), this.self);
+		}
+		boolean changed = !current.keySet().equals(this.live.keySet());
+		List<String> gone = new ArrayList<>(this.live.keySet());
+		gone.removeAll(current.keySet());
+		this.live = current;
+		return changed ? Optional.of(gone) : Optional.empty();
+	}
+
+	/**
+	 * Returns the owner of the pools and of the caps of organisations.
+	 * @return id of the host
+	 */
+	String owner() {
+		return this.live.values().stream().min(BY_RANK).orElse(this.self).record.host();
+	}
+
+	/**
+	 * Returns the ids of the live hosts, this one included.
+	 * @return an ordered list
+	 */
+	List<String> live() {
+		return List.copyOf(this.live.keySet());
+	}
+
+	/**
+	 * Returns the largest number of hosts that this host has known at once.
+	 * @return the number
+	 */
+	int largestSeen() {
+		return this.largestSeen;
+	}
+
+	/**
+	 * Returns where a host listens.
+	 * @param host id of the host
+	 * @return the address, or empty if it is not known
+	 */
+	String address(String host) {
+		Peer peer = this.peers.get(host);
+		return (peer != null) ? peer.record.address() : "";
+	}
+
+	/**
+	 * Another host. Confined to its owner.
+	 */
+	private static final class Peer {
+
+		static final long NEVER = Long.MIN_VALUE / 4;
+
+		final HostRecord record;
+
+		final long hash;
+
+		long heardAt = NEVER;
+
+		/** End of the current test in milliseconds, or 0 if none has begun. */
+		long testUntil;
+
+		boolean leaving;
+
+		Peer(HostRecord record) {
+			this.record = record;
+			this.hash = MurmurHash3.hash128x64((OWNER_KEY + record.host()).getBytes(StandardCharsets.UTF_8))[0];
+		}
+
+		boolean alive(long now) {
+			return now - this.heardAt < DEAD_AFTER_MILLIS;
+		}
+
+		// A host that was never heard of, or not for a while, is tested at intervals.
+		boolean testable(long now) {
+			if (this.testUntil == 0 || now >= this.testUntil + TEST_PAUSE_MILLIS) {
+				this.testUntil = now + TEST_MILLIS;
+			}
+			return now < this.testUntil;
+		}
+
+	}
+
+}
--- a/src/main/java/carawayswitch/gateway/Placements.java
+++ b/src/main/java/carawayswitch/gateway/Placements.java
@@ -36,9 +36,19 @@
 	 */
 	private static final long DECIDE_MILLIS = 25;
 
+	/** Time between two looks at what waits for the owner's decision in milliseconds. */
+	private static final long LOOK_MILLIS = 100;
+
 	/** Time without a decision in milliseconds after which the owner is asked again. */
 	private static final long ASK_AGAIN_MILLIS = 700;
 
+	/**
+	 * Time in milliseconds for which a host that has ceased to own the pools names the
+	 * owner to those that still ask it. After that it decides, since the two may not
+	 * reach the same host.
+	 */
+	private static final long HANDOVER_MILLIS = 1000;
+
 	/** Time in milliseconds for a decision to arrive after the patience has ended. */
 	private static final long GIVE_UP_MILLIS = 200;
 
@@ -56,6 +66,14 @@
 
 	private boolean deciding;
 
+	private boolean ticking;
+
+	/** Placements of this host without a decision, at most. */
+	private int waitingHere;
+
+	/** Time at which another host became the owner in place of this one. */
+	private long handedOverAt = Long.MIN_VALUE / 2;
+
 	Placements(NioReactor reactor, DecisionLog log, PoolOwner own) {
 		this.own = own;
 		this.reactor = reactor;
@@ -65,20 +83,30 @@
 	void start(GatewayPeers gatewayPeers) {
 		this.peers = gatewayPeers;
 		this.owner = gatewayPeers.owner();
-		tick();
 	}
 
+	// Looks at what waits, here or for others, for as long as something does.
 	private void tick() {
 		long now = Clocks.steadyMillis();
+		this.waitingHere = 0;
 		for (Placement placement : List.copyOf(this.placements.values())) {
 			if (placement.waits()) {
+				this.waitingHere++;
 				askAgain(placement, now);
 			}
 		}
 		if (this.own.waitingCount() > 0) {
 			decide();
 		}
-		this.reactor.delayBackground(DECIDE_MILLIS, this::tick);
+		this.ticking = false;
+		tickWhileWaiting();
+	}
+
+	private void tickWhileWaiting() {
+		if (!this.ticking && (this.waitingHere > 0 || this.own.waitingCount() > 0)) {
+			this.ticking = true;
+			this.reactor.delayBackground((this.own.waitingCount() > 0) ? DECIDE_MILLIS : LOOK_MILLIS, this::tick);
+		}
 	}
 
 	void believe(RouteTable routes, EndpointTable endpoints) {
@@ -96,7 +124,9 @@
 	Placement ask(PlaceRequest request, Placement.Listener listener, long now) {
 		Placement placement = new Placement(request, listener, now);
 		this.placements.put(placement.id(), placement);
+		this.waitingHere++;
 		ask(placement, now);
+		tickWhileWaiting();
 		return placement;
 	}
 
@@ -139,9 +169,10 @@
 				onReply(decision.host(), decision.reply());
 			}
 			else {
-				this.peers.send(decision.host(), decision.reply());
+				this.peers.reply(decision.host(), decision.reply());
 			}
 		}
+		tickWhileWaiting();
 	}
 
 	private void onReply(String from, PlaceReply reply) {
@@ -223,9 +254,13 @@
 
 	private void onOwnerMessage(String peer, Message message, long now) {
 		if (message instanceof PlaceRequest request) {
+			if (!ownsPools() && now - this.handedOverAt < HANDOVER_MILLIS) {
+				this.peers.nameLeaders(peer);
+				return;
+			}
 			PlaceReply decided = this.own.ask(peer, request, now);
 			if (decided != null) {
-				this.peers.send(peer, decided);
+				this.peers.reply(peer, decided);
 			}
 		}
 		else if (message instanceof PlaceBegun begun) {
@@ -253,6 +288,7 @@
 				this.own.begin(now);
 			}
 			else {
+				this.handedOverAt = before.equals(this.peers.self()) ? now : this.handedOverAt;
 				this.own.forget();
 			}
 			moveToOwner(now);
--- a/src/main/java/carawayswitch/platform/BootFile.java
+++ b/src/main/java/carawayswitch/platform/BootFile.java
@@ -20,6 +20,8 @@
 
 	private static final double MILLIS = 1000;
 
+	private static final double THOUSANDTHS = 1000;
+
 	private BootFile() {
 	}
 
@@ -36,7 +38,8 @@
 		return new GatewaySettings(text(tree, "node-name", path), text(tree, "zone", path),
 				address(text(listen, "front", path)), address(text(listen, "readiness", path)),
 				new InetSocketAddress(text(tree, "ip", path), tree.path("internal-port-range").path(0).asInt()),
-				address(text(tree.path("platform"), "address", path)), bounds(tree.path("bounds")));
+				address(text(tree.path("platform"), "address", path)), capacity(tree.path("limits")),
+				bounds(tree.path("bounds")));
 	}
 
 	private static String text(JsonNode tree, String field, Path path) throws IOException {
@@ -47,6 +50,11 @@
 		return value.asText();
 	}
 
+	// The number of cores is how many times as fast as one core the host is.
+	private static int capacity(JsonNode limits) {
+		return (int) (limits.path("cpu-share").asDouble(1) * limits.path("cpu-cores").asDouble(1) * THOUSANDTHS);
+	}
+
 	static InetSocketAddress address(String text) {
 		int colon = text.lastIndexOf(':');
 		return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
--- a/src/main/java/carawayswitch/platform/StoreClient.java
+++ b/src/main/java/carawayswitch/platform/StoreClient.java
@@ -91,7 +91,7 @@
 
 	@Override
 	public BeliefSource<RouteTable> configurations() {
-		return new TopicSource<>(CONFIGURATION_TOPIC, (key, bytes) -> key.equals(CONFIGURATION_KEY)
+		return new TopicSource<>(CONFIGURATION_TOPIC, "", (key, bytes) -> key.equals(CONFIGURATION_KEY)
 				? ConfigurationDecoder.decode(bytes).map(Optional::of) : Try.success(Optional.empty()));
 	}
 
@@ -102,19 +102,20 @@
 
 	@Override
 	public BeliefSource<EndpointEntry> endpoints() {
-		return new TopicSource<>(ENDPOINT_TOPIC, (key, bytes) -> EndpointDecoder.decode(key, bytes).map(Optional::of));
+		return new TopicSource<>(ENDPOINT_TOPIC, "",
+				(key, bytes) -> EndpointDecoder.decode(key, bytes).map(Optional::of));
 	}
 
 	@Override
 	public BeliefSource<HostRecord> records() {
-		return new TopicSource<>(HOST_TOPIC, (key, bytes) -> key.startsWith(HOST_KEY_PREFIX)
+		return new TopicSource<>(HOST_TOPIC, HOST_KEY_PREFIX, (key, bytes) -> key.startsWith(HOST_KEY_PREFIX)
 				? hostRecord(bytes).map(Optional::of) : Try.success(Optional.empty()));
 	}
 
 	private static Try<HostRecord> hostRecord(byte[] bytes) {
 		return Json.parse(bytes)
 			.map((tree) -> new HostRecord(tree.path("host").asText(), tree.path("address").asText(),
-					tree.path("zone").asText(), tree.path("incarnation").asLong()));
+					tree.path("zone").asText(), tree.path("incarnation").asLong(), tree.path("capacity").asInt()));
 	}
 
 	@Override
@@ -123,7 +124,8 @@
 			.put("host", record.host())
 			.put("address", record.address())
 			.put("zone", record.zone())
-			.put("incarnation", record.incarnation());
+			.put("incarnation", record.incarnation())
+			.put("capacity", record.capacity());
 		return append(HOST_TOPIC, keyed(HOST_KEY_PREFIX + record.host(), Json.bytes(value)));
 	}
 
@@ -226,10 +228,14 @@
 
 		private final String topic;
 
+		/** Taken off the keys; empty if they are names already. */
+		private final String prefix;
+
 		private final BiFunction<String, byte[], Try<Optional<T>>> decoder;
 
-		TopicSource(String topic, BiFunction<String, byte[], Try<Optional<T>>> decoder) {
+		TopicSource(String topic, String prefix, BiFunction<String, byte[], Try<Optional<T>>> decoder) {
 			this.topic = topic;
+			this.prefix = prefix;
 			this.decoder = decoder;
 		}
 
@@ -304,19 +310,20 @@
 			Map<String, Optional<T>> entries = new LinkedHashMap<>();
 			List<String> unreadable = new ArrayList<>();
 			values.forEach((key, value) -> {
+				String name = key.startsWith(this.prefix) ? key.substring(this.prefix.length()) : key;
 				if (value.length == 0) {
-					entries.put(key, Optional.empty());
+					entries.put(name, Optional.empty());
 					return;
 				}
 				Try<Optional<T>> decoded = this.decoder.apply(key, value);
 				if (decoded.isFailure()) {
 					unreadable.add(key);
-					entries.put(key, Optional.empty());
+					entries.put(name, Optional.empty());
 					LogEvent.RECORD_UNREADABLE.log("topic", this.topic, "key", key, "reason",
 							decoded.getCause().getMessage());
 				}
 				else {
-					decoded.get().ifPresent((entry) -> entries.put(key, Optional.of(entry)));
+					decoded.get().ifPresent((entry) -> entries.put(name, Optional.of(entry)));
 				}
 			});
 			return new Page<>(entries, unreadable.size(), next, false);
--- a/src/main/java/carawayswitch/standin/PlatformFleet.java
+++ b/src/main/java/carawayswitch/standin/PlatformFleet.java
@@ -40,6 +40,8 @@
 
 	private static final int ENGINES = 2;
 
+	private static final int CAPACITY = 1000;
+
 	private static final GatewaySettings.Bounds BOUNDS = new GatewaySettings.Bounds(2000, 2000, true, 3000, 4000, 0.2,
 			54, 10_000, 8000, 0.1, 140_000);
 
@@ -87,7 +89,7 @@
 	public GatewayHost addHost(int metricsPort) throws IOException {
 		InetSocketAddress free = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
 		GatewaySettings settings = new GatewaySettings("host-" + this.hosts.size(), "a", free, free, free,
-				this.store.address(), BOUNDS);
+				this.store.address(), CAPACITY, BOUNDS);
 		GatewayHost host = GatewayHost.start(settings, metricsPort, new PlatformWireFormat(),
 				(reactor, pool) -> new StoreClient(reactor, pool, this.store.address()));
 		this.hosts.add(host);
--- a/src/main/java/carawayswitch/transport/IncomingLink.java
+++ b/src/main/java/carawayswitch/transport/IncomingLink.java
@@ -1,5 +1,7 @@
 package carawayswitch.transport;
 
+import java.util.function.Consumer;
+
 import io.activej.bytebuf.ByteBuf;
 import io.activej.csp.binary.BinaryChannelSupplier;
 import io.activej.csp.supplier.ChannelSuppliers;
@@ -31,7 +33,9 @@
 
 	private final PeerHandler handler;
 
-	private final Runnable onClosed;
+	private final Consumer<IncomingLink> onVerified;
+
+	private final Consumer<IncomingLink> onClosed;
 
 	private final TrafficCounter traffic;
 
@@ -48,12 +52,13 @@
 	private long heardAt;
 
 	IncomingLink(NioReactor reactor, PeerIdentity identity, ITcpSocket socket, PeerHandler handler,
-			TrafficCounter traffic, Runnable onClosed) {
+			TrafficCounter traffic, Consumer<IncomingLink> onVerified, Consumer<IncomingLink> onClosed) {
 		this.reactor = reactor;
 		this.identity = identity;
 		this.socket = socket;
 		this.handler = handler;
 		this.traffic = traffic;
+		this.onVerified = onVerified;
 		this.onClosed = onClosed;
 	}
 
@@ -96,13 +101,22 @@
 		}
 		else if (message instanceof Proof proof && this.identity.verify(this.challenge, this.peer, proof.signature())) {
 			this.verified = true;
+			this.onVerified.accept(this);
 		}
 		else {
 			close("authentication failed");
 		}
 	}
 
-	private void write(Message message) {
+	/**
+	 * Returns the host that opened the connection.
+	 * @return id of the host, or empty until it has proved who it is
+	 */
+	String verifiedPeer() {
+		return (this.verified && !this.closed) ? this.peer : "";
+	}
+
+	void write(Message message) {
 		ByteBuf frame = Frames.encode(message);
 		this.traffic.sent(frame.readRemaining());
 		this.socket.write(frame).whenException((failure) -> close(failure.getMessage()));
@@ -124,7 +138,7 @@
 		if (!this.verified) {
 			LogEvent.PEER_REJECTED.log("peer", this.peer, "reason", reason);
 		}
-		this.onClosed.run();
+		this.onClosed.accept(this);
 	}
 
 }
--- a/src/main/java/carawayswitch/transport/OutgoingLink.java
+++ b/src/main/java/carawayswitch/transport/OutgoingLink.java
@@ -13,18 +13,21 @@
 import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.reactor.net.SocketSettings;
 import io.activej.reactor.nio.NioReactor;
+import io.vavr.control.Option;
+import io.vavr.control.Try;
 
 import carawayswitch.log.LogEvent;
 import carawayswitch.message.Hello;
 import carawayswitch.message.Message;
 import carawayswitch.message.MessageCodec;
 import carawayswitch.message.Ping;
+import carawayswitch.message.Pong;
 import carawayswitch.message.Proof;
 
 /**
- * Connection that this host opened to another one. Invariant: the callback of a message
- * is run only if no byte of the message was handed to the socket. Confined to the thread
- * of the transport.
+ * Connection that this host opened to another one, which may reply on it. Invariant: the
+ * callback of a message is run only if no byte of the message was handed to the socket.
+ * Confined to the thread of the transport.
  */
 final class OutgoingLink {
 
@@ -39,6 +42,8 @@
 
 	private final PeerIdentity identity;
 
+	private final PeerHandler handler;
+
 	private final String peer;
 
 	private final Consumer<Boolean> onClosed;
@@ -64,14 +69,19 @@
 	/** Time of the first probe since the other host was heard of, or 0. */
 	private long unansweredSince;
 
+	private long heardAt;
+
+	private long peerIncarnation;
+
 	private long usedAt;
 
 	private long sequence;
 
-	OutgoingLink(NioReactor reactor, PeerIdentity identity, String peer, TrafficCounter traffic,
+	OutgoingLink(NioReactor reactor, PeerIdentity identity, PeerHandler handler, String peer, TrafficCounter traffic,
 			Consumer<Boolean> onClosed) {
 		this.reactor = reactor;
 		this.identity = identity;
+		this.handler = handler;
 		this.peer = peer;
 		this.traffic = traffic;
 		this.onClosed = onClosed;
@@ -106,15 +116,31 @@
 	}
 
 	private void onFrame(ByteBuf frame) {
+		if (this.closed) {
+			return;
+		}
 		this.unansweredSince = 0;
+		this.heardAt = this.reactor.currentTimeMillis();
 		this.traffic.received(frame.readRemaining());
-		Message message = MessageCodec.decode(frame.asArray()).toOption().flatMap((decoded) -> decoded).getOrNull();
+		Try<Option<Message>> decoded = MessageCodec.decode(frame.asArray());
+		if (decoded.isFailure()) {
+			close("malformed message: " + decoded.getCause().getMessage());
+			return;
+		}
+		decoded.get().forEach(this::onMessage);
+	}
+
+	private void onMessage(Message message) {
 		if (message instanceof Hello hello) {
+			this.peerIncarnation = hello.incarnation();
 			write(Frames.encode(new Proof(this.identity.sign(hello.challenge()))));
 		}
 		else if (message instanceof Proof proof && !this.ready) {
 			onProof(proof);
 		}
+		else if (this.ready && !(message instanceof Pong)) {
+			this.handler.onMessage(this.peer, this.peerIncarnation, message);
+		}
 	}
 
 	private void onProof(Proof proof) {
@@ -173,15 +199,16 @@
 	}
 
 	/**
-	 * Probes the connection while something is expected of the other host, and closes it
-	 * when it has been silent or idle for too long.
+	 * Probes the connection while something is expected of the other host that has not
+	 * been heard of lately, and closes it when it has been silent or idle for too long.
 	 * @param now time in milliseconds
+	 * @param quietMillis time without a word in milliseconds after which a probe is sent
 	 * @param silenceMillis silence in milliseconds after which a probed connection is
 	 * closed
 	 * @param idleMillis time without use in milliseconds after which it is closed
 	 * @param awaited true if an answer of the other host is awaited
 	 */
-	void probe(long now, long silenceMillis, long idleMillis, boolean awaited) {
+	void probe(long now, long quietMillis, long silenceMillis, long idleMillis, boolean awaited) {
 		boolean silent = this.unansweredSince > 0 && now - this.unansweredSince > silenceMillis;
 		if (silent) {
 			close("no answer for " + silenceMillis + " ms");
@@ -189,7 +216,7 @@
 		else if (this.ready && !awaited && now - this.usedAt > idleMillis) {
 			close(IDLE);
 		}
-		else if (this.ready && (awaited || now - this.usedAt <= silenceMillis)) {
+		else if (this.ready && now - this.heardAt >= quietMillis && (awaited || now - this.usedAt <= silenceMillis)) {
 			this.unansweredSince = (this.unansweredSince > 0) ? this.unansweredSince : now;
 			write(Frames.encode(new Ping(this.sequence++)));
 		}
--- a/src/main/java/carawayswitch/transport/PeerTransport.java
+++ b/src/main/java/carawayswitch/transport/PeerTransport.java
@@ -12,20 +12,31 @@
 import io.activej.net.SimpleServer;
 import io.activej.net.socket.tcp.ITcpSocket;
 import io.activej.promise.Promise;
+import io.activej.reactor.net.ServerSocketSettings;
 import io.activej.reactor.nio.NioReactor;
 
 import carawayswitch.message.Message;
 
 /**
  * Sends messages to other hosts and receives theirs. A host sends on the connection that
- * it opened and receives on those that others opened. Connections are opened on demand,
- * probed, and replaced when they fall silent. {@link #send} may be called by any thread;
- * everything else is confined to the thread of the reactor.
+ * it opened and receives on those that others opened, on which it may also reply.
+ * Connections are opened on demand, probed, and replaced when they fall silent.
+ * {@link #send} may be called by any thread; everything else is confined to the thread of
+ * the reactor.
  */
 public final class PeerTransport {
 
 	private static final long IDLE_MILLIS = 60_000;
 
+	/** Connections that may wait to be accepted; all hosts may open theirs at once. */
+	private static final int BACKLOG = 1024;
+
+	/**
+	 * Part of the time between two probes for which a host that was heard of is not
+	 * probed again; answers to other messages take the place of probes.
+	 */
+	private static final double QUIET_SHARE = 0.9;
+
 	private final NioReactor reactor;
 
 	private final PeerIdentity identity;
@@ -40,6 +51,9 @@
 
 	private final Set<IncomingLink> incoming = new HashSet<>();
 
+	/** The newest connection that each host has opened. */
+	private final Map<String, IncomingLink> replyLinks = new HashMap<>();
+
 	private final TrafficCounter traffic = new TrafficCounter();
 
 	private SimpleServer server;
@@ -70,21 +84,27 @@
 	 * @throws IOException if the address cannot be bound
 	 */
 	public InetSocketAddress listen(InetSocketAddress address) throws IOException {
-		this.server = SimpleServer.builder(this.reactor, this::accept).withListenAddress(address).build();
+		this.server = SimpleServer.builder(this.reactor, this::accept)
+			.withListenAddress(address)
+			.withServerSocketSettings(ServerSocketSettings.create(BACKLOG))
+			.build();
 		this.server.listen();
 		schedule();
 		return this.server.getBoundAddresses().get(0);
 	}
 
 	private void accept(ITcpSocket socket) {
-		IncomingLink[] holder = new IncomingLink[1];
 		IncomingLink link = new IncomingLink(this.reactor, this.identity, socket, this.handler, this.traffic,
-				() -> this.incoming.remove(holder[0]));
-		holder[0] = link;
+				(verified) -> this.replyLinks.put(verified.verifiedPeer(), verified), this::forget);
 		this.incoming.add(link);
 		link.start(this.reactor.currentTimeMillis());
 	}
 
+	private void forget(IncomingLink link) {
+		this.incoming.remove(link);
+		this.replyLinks.values().remove(link);
+	}
+
 	private void schedule() {
 		this.reactor.delayBackground(this.times.pingMillis(), () -> {
 			if (!this.stopped) {
@@ -97,8 +117,9 @@
 	private void probe() {
 		long now = this.reactor.currentTimeMillis();
 		Set<String> awaited = this.handler.awaitedPeers();
+		long quietMillis = (long) (this.times.pingMillis() * QUIET_SHARE);
 		for (OutgoingLink link : List.copyOf(this.outgoing.values())) {
-			link.probe(now, this.times.silenceMillis(), IDLE_MILLIS, awaited.contains(link.peer()));
+			link.probe(now, quietMillis, this.times.silenceMillis(), IDLE_MILLIS, awaited.contains(link.peer()));
 		}
 		for (IncomingLink link : List.copyOf(this.incoming)) {
 			link.probe(now, this.times.silenceMillis(), IDLE_MILLIS + this.times.silenceMillis());
@@ -130,6 +151,22 @@
 		});
 	}
 
+	/**
+	 * Answers a message on the connection on which the other host sends, so that an
+	 * answer also shows that the connection works. A host that has none open is sent to.
+	 * @param peer id of the receiving host
+	 * @param message the message
+	 */
+	public void reply(String peer, Message message) {
+		IncomingLink link = this.replyLinks.get(peer);
+		if (link != null) {
+			link.write(message);
+		}
+		else {
+			send(peer, message);
+		}
+	}
+
 	private void sendNow(String peer, Message message, Runnable onUnsent) {
 		OutgoingLink link = this.outgoing.get(peer);
 		long now = this.reactor.currentTimeMillis();
@@ -150,7 +187,7 @@
 			return null;
 		}
 		OutgoingLink[] holder = new OutgoingLink[1];
-		OutgoingLink link = new OutgoingLink(this.reactor, this.identity, peer, this.traffic, (lost) -> {
+		OutgoingLink link = new OutgoingLink(this.reactor, this.identity, this.handler, peer, this.traffic, (lost) -> {
 			this.outgoing.remove(peer, holder[0]);
 			if (lost) {
 				this.handler.onPeerLost(peer);
