Relay: in large fleets two hosts of each availability zone read the store for the others

Change: a host of a fleet of more than eight asks one of the two highest ranks of its zone for what is new, with the age of the read that confirmed it; records whose meaning has not changed, such as heartbeats, are not passed on, large ones are compressed. Without an answer the other host is asked, then the store. Keys stay bound to the age of the read. Ruled out: one reader for all (its link would carry each large configuration 84 times), deltas of configurations (compression is enough for links of 10 Mbit/s). Tests: RelayLogTests (no network, jqwik), RelayTests (12 hosts on real sockets: readers killed, store silent).

--- a/src/main/java/carawayswitch/gateway/BeliefFollower.java
+++ b/src/main/java/carawayswitch/gateway/BeliefFollower.java
@@ -37,6 +37,9 @@
 
 	private final String name;
 
+	/** What was read, for other hosts. */
+	private final RelayLog<T> relayLog;
+
 	private long nextOffset = -1;
 
 	private boolean failing;
@@ -45,9 +48,10 @@
 
 	private Confirmation confirmed = Confirmation.NONE;
 
-	BeliefFollower(NioReactor reactor, String name, BeliefSource<T> source, Pace pace, DecisionLog log,
-			Consumer<Update<T>> onUpdate) {
+	BeliefFollower(NioReactor reactor, String name, BeliefSource<T> source, Pace pace, RelayLog<T> relayLog,
+			DecisionLog log, Consumer<Update<T>> onUpdate) {
 		this.reactor = reactor;
+		this.relayLog = relayLog;
 		this.name = name;
 		this.source = source;
 		this.pace = pace;
@@ -60,7 +64,7 @@
 	}
 
 	private void read() {
-		Confirmation sent = new Confirmation(Clocks.steadyMillis(), Clocks.wallMillis());
+		Confirmation sent = Clocks.reading();
 		boolean whole = this.nextOffset < 0;
 		(whole ? this.source.newest() : this.source.after(this.nextOffset, this.pace.waitMillis()))
 			.subscribe((page, failure) -> {
@@ -76,6 +80,7 @@
 	private void onFailure(Exception failure) {
 		if (!this.failing) {
 			this.failing = true;
+			this.relayLog.current(false);
 			this.log.write(LogEvent.STORE_LOST, "records", this.name, "reason", failure.getMessage(), "age_ms",
 					this.confirmed.shownAge(Clocks.steadyMillis(), Clocks.wallMillis()));
 		}
@@ -92,16 +97,21 @@
 			.getOrElse(0L);
 		if (this.failing) {
 			this.failing = false;
+			this.relayLog.current(true);
 			this.log.write(LogEvent.STORE_REGAINED, "records", this.name, "outage_ms", outage);
 		}
 		apply(page, whole, sent, outage);
-		later(this.pace.pauseMillis());
+		later((page.relay() != null) ? this.pace.relayedPauseMillis() : this.pace.pauseMillis());
 	}
 
-	private void apply(BeliefSource.Page<T> page, boolean whole, Confirmation sent, long outage) {
-		this.confirmed = this.confirmed.newer(sent);
+	private void apply(BeliefSource.Page<T> page, boolean wholeRead, Confirmation sent, long outage) {
+		BeliefSource.Relay relay = page.relay();
+		Confirmation confirmation = (relay != null) ? sent.minus(relay.ageMillis()) : sent;
+		this.confirmed = this.confirmed.newer(confirmation);
 		this.nextOffset = Math.max(this.nextOffset, page.nextOffset());
-		this.onUpdate.accept(new Update<>(page.entries(), whole, sent, outage));
+		boolean whole = (relay != null) ? relay.whole() : wholeRead;
+		this.relayLog.update(page, whole, this.confirmed);
+		this.onUpdate.accept(new Update<>(page.entries(), whole, confirmation, outage));
 	}
 
 	/**
@@ -113,8 +123,8 @@
 			return;
 		}
 		this.confirming = true;
-		Confirmation sent = new Confirmation(Clocks.steadyMillis(), Clocks.wallMillis());
-		this.source.after(this.nextOffset, 0).subscribe((page, failure) -> {
+		Confirmation sent = Clocks.reading();
+		this.source.confirmed(this.nextOffset).subscribe((page, failure) -> {
 			if (failure == null && !page.trimmed()) {
 				apply(page, false, sent, 0);
 			}
@@ -131,9 +141,10 @@
 	 * How often records are read. Immutable.
 	 *
 	 * @param waitMillis time that a read waits for a record in milliseconds, or 0
-	 * @param pauseMillis pause between two reads in milliseconds
+	 * @param pauseMillis pause between two reads of the store in milliseconds
+	 * @param relayedPauseMillis pause after a read that another host has answered
 	 */
-	record Pace(long waitMillis, long pauseMillis) {
+	record Pace(long waitMillis, long pauseMillis, long relayedPauseMillis) {
 
 	}
 
--- a/src/main/java/carawayswitch/gateway/BeliefSource.java
+++ b/src/main/java/carawayswitch/gateway/BeliefSource.java
@@ -26,16 +26,36 @@
 	 */
 	Promise<Page<T>> after(long offset, long waitMillis);
 
+	/**
+	 * Reads the records that follow an offset from the store itself, at once.
+	 * @param offset offset of the first wanted record
+	 * @return the records; fails if they could not be read
+	 */
+	default Promise<Page<T>> confirmed(long offset) {
+		return after(offset, 0);
+	}
+
+	/**
+	 * Decodes records as the store holds them.
+	 * @param values newest value of each name; empty for a removed one
+	 * @param nextOffset offset of the next record to read
+	 * @return the records
+	 */
+	Page<T> decode(Map<String, byte[]> values, long nextOffset);
+
 	/**
 	 * Records that were read. Immutable.
 	 *
 	 * @param <T> what a record says
-	 * @param entries newest record of each key; empty for a removed key
-	 * @param unreadable number of records that could not be decoded
+	 * @param entries newest record of each name; empty for a removed or unreadable one
+	 * @param values the records as the store holds them
 	 * @param nextOffset offset of the next record to read
 	 * @param trimmed true if the wanted records are gone and all must be read anew
+	 * @param relay how another host has passed the records on, or null if the store was
+	 * read
 	 */
-	record Page<T>(Map<String, Optional<T>> entries, int unreadable, long nextOffset, boolean trimmed) {
+	record Page<T>(Map<String, Optional<T>> entries, Map<String, byte[]> values, long nextOffset, boolean trimmed,
+			Relay relay) {
 
 		/**
 		 * Returns the answer to a read of records that are gone.
@@ -43,9 +63,24 @@
 		 * @return the page
 		 */
 		public static <T> Page<T> gone() {
-			return new Page<>(Map.of(), 0, 0, true);
+			return new Page<>(Map.of(), Map.of(), 0, true, null);
+		}
+
+		Page<T> relayed(long ageMillis, boolean whole) {
+			return new Page<>(this.entries, this.values, this.nextOffset, this.trimmed, new Relay(ageMillis, whole));
 		}
 
 	}
 
+	/**
+	 * How another host has passed records on. Immutable.
+	 *
+	 * @param ageMillis time from the read of the store to the arrival of the ask in
+	 * milliseconds; negative if the store was read while the ask waited
+	 * @param whole true if names without a record do not exist
+	 */
+	record Relay(long ageMillis, boolean whole) {
+
+	}
+
 }
--- a/src/main/java/carawayswitch/gateway/Clocks.java
+++ b/src/main/java/carawayswitch/gateway/Clocks.java
@@ -1,5 +1,6 @@
 package carawayswitch.gateway;
 
+import carawayswitch.route.Confirmation;
 import carawayswitch.time.MonotonicClock;
 
 /**
@@ -15,6 +16,14 @@
 		return MonotonicClock.millis();
 	}
 
+	/**
+	 * Reads both clocks.
+	 * @return a confirmation as of now
+	 */
+	static Confirmation reading() {
+		return new Confirmation(steadyMillis(), wallMillis());
+	}
+
 	static long wallMillis() {
 		return System.currentTimeMillis();
 	}
--- /dev/null
+++ b/src/main/java/carawayswitch/gateway/Deflation.java
@@ -0,0 +1,56 @@
+package carawayswitch.gateway;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.zip.Deflater;
+import java.util.zip.DeflaterOutputStream;
+import java.util.zip.InflaterOutputStream;
+
+import io.vavr.control.Try;
+
+import carawayswitch.message.RelayRecord;
+
+/**
+ * Compresses records that are passed on. Large configurations shrink to a tenth, which
+ * small links need. Stateless.
+ */
+final class Deflation {
+
+	/** Size in bytes below which compressing is not worth its time. */
+	static final int MIN_BYTES = 2048;
+
+	private Deflation() {
+	}
+
+	static RelayRecord record(String name, byte[] value) {
+		if (value.length < MIN_BYTES) {
+			return new RelayRecord(name, value, false);
+		}
+		Deflater deflater = new Deflater(Deflater.BEST_SPEED);
+		ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+		try (DeflaterOutputStream output = new DeflaterOutputStream(bytes, deflater)) {
+			output.write(value);
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("writing to memory failed", ex);
+		}
+		finally {
+			deflater.end();
+		}
+		return new RelayRecord(name, bytes.toByteArray(), true);
+	}
+
+	static Try<byte[]> value(RelayRecord record) {
+		if (!record.deflated()) {
+			return Try.success(record.value());
+		}
+		return Try.of(() -> {
+			ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+			try (InflaterOutputStream output = new InflaterOutputStream(bytes)) {
+				output.write(record.value());
+			}
+			return bytes.toByteArray();
+		});
+	}
+
+}
--- a/src/main/java/carawayswitch/gateway/GatewayHost.java
+++ b/src/main/java/carawayswitch/gateway/GatewayHost.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.BiFunction;
+import java.util.function.Consumer;
 
 import io.activej.eventloop.Eventloop;
 import io.activej.reactor.nio.NioReactor;
@@ -50,6 +51,20 @@
 	 */
 	private static final long CONFIGURATION_PAUSE_MILLIS = 50;
 
+	/**
+	 * Time in milliseconds for which another host waits for a record before it answers.
+	 */
+	private static final long RELAY_WAIT_MILLIS = 800;
+
+	/**
+	 * Pause after a configuration that another host has passed on, in milliseconds; of
+	 * configurations in quick succession only some need to be taken over.
+	 */
+	private static final long RELAYED_CONFIGURATION_PAUSE_MILLIS = 150;
+
+	/** Pause after entries of endpoints that another host has passed on. */
+	private static final long RELAYED_ENDPOINT_PAUSE_MILLIS = 50;
+
 	/** Part of the drain bound after which entries of endpoints are read again. */
 	private static final double ENDPOINT_PAUSE_SHARE = 0.45;
 
@@ -131,14 +146,23 @@
 		this.peers = new GatewayPeers(loop, this.self, settings.clusterName(), log, placements);
 		this.context.peers = this.peers;
 		this.front = new FrontServer(this.context);
-		this.configurations = new BeliefFollower<>(loop, "configuration", this.platform.configurations(),
-				new BeliefFollower.Pace(CONFIGURATION_WAIT_MILLIS, CONFIGURATION_PAUSE_MILLIS), log,
-				this::onConfiguration);
-		this.endpoints = new BeliefFollower<>(loop, "endpoints", this.platform.endpoints(),
-				new BeliefFollower.Pace(0, (long) (settings.bounds().drainMillis() * ENDPOINT_PAUSE_SHARE)), log,
-				this::onEndpoints);
-		this.directory = new BeliefFollower<>(loop, "hosts", this.platform.directory().records(),
-				new BeliefFollower.Pace(0, DIRECTORY_PAUSE_MILLIS), log, this::onDirectory);
+		this.configurations = follower(
+				"configuration", this.platform.configurations(), new BeliefFollower.Pace(CONFIGURATION_WAIT_MILLIS,
+						CONFIGURATION_PAUSE_MILLIS, RELAYED_CONFIGURATION_PAUSE_MILLIS),
+				RELAY_WAIT_MILLIS, this::onConfiguration);
+		this.endpoints = follower(
+				"endpoints", this.platform.endpoints(), new BeliefFollower.Pace(0,
+						(long) (settings.bounds().drainMillis() * ENDPOINT_PAUSE_SHARE), RELAYED_ENDPOINT_PAUSE_MILLIS),
+				RELAY_WAIT_MILLIS, this::onEndpoints);
+		this.directory = follower("hosts", this.platform.directory().records(),
+				new BeliefFollower.Pace(0, DIRECTORY_PAUSE_MILLIS, DIRECTORY_PAUSE_MILLIS), 0, this::onDirectory);
+	}
+
+	private <T> BeliefFollower<T> follower(String kind, BeliefSource<T> store, BeliefFollower.Pace pace,
+			long relayWaitMillis, Consumer<BeliefFollower.Update<T>> onUpdate) {
+		BeliefRelay relay = this.peers.relay();
+		return new BeliefFollower<>(this.loop, kind, relay.source(kind, store, relayWaitMillis), pace, relay.log(kind),
+				this.context.log, onUpdate);
 	}
 
 	/**
--- a/src/main/java/carawayswitch/gateway/GatewayPeers.java
+++ b/src/main/java/carawayswitch/gateway/GatewayPeers.java
@@ -41,11 +41,14 @@
 
 	private final Listener listener;
 
+	private final BeliefRelay relay;
+
 	GatewayPeers(NioReactor reactor, HostRecord self, String clusterName, DecisionLog log, Listener listener) {
 		this.reactor = reactor;
 		this.view = new PeerView(self);
 		this.log = log;
 		this.listener = listener;
+		this.relay = new BeliefRelay(reactor, this);
 		this.transport = new PeerTransport(reactor, new PeerIdentity(self.host(), self.incarnation(), clusterName),
 				new PeerTransport.Times(BEAT_MILLIS, SILENCE_MILLIS), this.view::address, this);
 	}
@@ -103,11 +106,15 @@
 		if (message instanceof GatewayBeat beat) {
 			onBeat(beat, now);
 		}
-		else {
+		else if (!this.relay.onMessage(peer, message)) {
 			this.listener.onMessage(peer, message, now);
 		}
 	}
 
+	BeliefRelay relay() {
+		return this.relay;
+	}
+
 	private void onBeat(GatewayBeat beat, long now) {
 		List<String> before = this.view.targets(now);
 		if (this.view.heard(beat, now)) {
@@ -134,6 +141,15 @@
 		this.transport.reply(host, message(true, Clocks.steadyMillis()));
 	}
 
+	/**
+	 * Returns the hosts that this one may ask in place of the store.
+	 * @param avoided ids of hosts that did not answer lately
+	 * @return ids of the hosts, or nothing if this host is to read the store
+	 */
+	List<String> relays(Set<String> avoided) {
+		return this.view.relays(avoided);
+	}
+
 	@Override
 	public Set<String> awaitedPeers() {
 		return this.listener.awaitedPeers();
@@ -154,6 +170,16 @@
 		this.transport.send(host, message);
 	}
 
+	/**
+	 * Sends a message.
+	 * @param host id of the host
+	 * @param message the message
+	 * @param onUnsent run if no byte of the message was sent
+	 */
+	void send(String host, Message message, Runnable onUnsent) {
+		this.transport.send(host, message, onUnsent);
+	}
+
 	/**
 	 * Sends a message to a host that has sent one.
 	 * @param host id of the host
--- a/src/main/java/carawayswitch/gateway/PeerView.java
+++ b/src/main/java/carawayswitch/gateway/PeerView.java
@@ -2,11 +2,13 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 
 import org.apache.commons.codec.digest.MurmurHash3;
@@ -40,6 +42,9 @@
 	 */
 	static final int LEADERS = 2;
 
+	/** Hosts of an availability zone that read the store for the others. */
+	static final int RELAYS = 2;
+
 	/** Most hosts that receive beats in a large fleet, dead ones included. */
 	static final int MAX_TARGETS = 16;
 
@@ -238,6 +243,32 @@
 			.toList();
 	}
 
+	/**
+	 * Returns the hosts that this one may ask in place of the store: the two of its
+	 * availability zone that rank highest, unless this host is one of them. Hosts are
+	 * spread over the two.
+	 * @param avoided ids of hosts that did not answer lately
+	 * @return ids of the hosts, or nothing if this host is to read the store
+	 */
+	List<String> relays(Set<String> avoided) {
+		if (this.peers.size() < SMALL_FLEET) {
+			return List.of();
+		}
+		List<String> relays = new ArrayList<>(this.ranked.stream()
+			.filter((peer) -> peer.record.zone().equals(this.self.record.zone()) && !peer.leaving
+					&& !avoided.contains(peer.record.host()) && BY_RANK.compare(peer, this.self) < 0)
+			.limit(RELAYS)
+			.map((peer) -> peer.record.host())
+			.toList());
+		if (relays.size() < RELAYS) {
+			return List.of();
+		}
+		if (this.self.hash % 2 == 0) {
+			Collections.reverse(relays);
+		}
+		return relays;
+	}
+
 	/**
 	 * Looks again at who is live.
 	 * @param now steady time in milliseconds
--- a/src/main/java/carawayswitch/platform/StoreClient.java
+++ b/src/main/java/carawayswitch/platform/StoreClient.java
@@ -91,8 +91,8 @@
 
 	@Override
 	public BeliefSource<RouteTable> configurations() {
-		return new TopicSource<>(CONFIGURATION_TOPIC, "", (key, bytes) -> key.equals(CONFIGURATION_KEY)
-				? ConfigurationDecoder.decode(bytes).map(Optional::of) : Try.success(Optional.empty()));
+		return new TopicSource<>(CONFIGURATION_TOPIC, CONFIGURATION_KEY,
+				(name, bytes) -> ConfigurationDecoder.decode(bytes));
 	}
 
 	@Override
@@ -102,14 +102,12 @@
 
 	@Override
 	public BeliefSource<EndpointEntry> endpoints() {
-		return new TopicSource<>(ENDPOINT_TOPIC, "",
-				(key, bytes) -> EndpointDecoder.decode(key, bytes).map(Optional::of));
+		return new TopicSource<>(ENDPOINT_TOPIC, "", EndpointDecoder::decode);
 	}
 
 	@Override
 	public BeliefSource<HostRecord> records() {
-		return new TopicSource<>(HOST_TOPIC, HOST_KEY_PREFIX, (key, bytes) -> key.startsWith(HOST_KEY_PREFIX)
-				? hostRecord(bytes).map(Optional::of) : Try.success(Optional.empty()));
+		return new TopicSource<>(HOST_TOPIC, HOST_KEY_PREFIX, (name, bytes) -> hostRecord(bytes));
 	}
 
 	private static Try<HostRecord> hostRecord(byte[] bytes) {
@@ -228,12 +226,14 @@
 
 		private final String topic;
 
-		/** Taken off the keys; empty if they are names already. */
+		/**
+		 * Beginning of the keys of the wanted records, which is not part of their names.
+		 */
 		private final String prefix;
 
-		private final BiFunction<String, byte[], Try<Optional<T>>> decoder;
+		private final BiFunction<String, byte[], Try<T>> decoder;
 
-		TopicSource(String topic, String prefix, BiFunction<String, byte[], Try<Optional<T>>> decoder) {
+		TopicSource(String topic, String prefix, BiFunction<String, byte[], Try<T>> decoder) {
 			this.topic = topic;
 			this.prefix = prefix;
 			this.decoder = decoder;
@@ -258,7 +258,7 @@
 				}
 				long end = (firstEnd >= 0) ? firstEnd : tree.path("end-offset").asLong();
 				boolean more = tree.path("has-more").asBoolean() && !last.equals(afterKey) && page < MAX_PAGES;
-				return more ? newestPage(last, values, end, page + 1) : Promise.of(page(values, end));
+				return more ? newestPage(last, values, end, page + 1) : Promise.of(decode(named(values), end));
 			});
 		}
 
@@ -303,30 +303,33 @@
 					values.put(key, Arrays.copyOfRange(record, 1 + keyLength, record.length));
 				}
 			}
-			return page(values, next);
+			return decode(named(values), next);
 		}
 
-		private Page<T> page(Map<String, byte[]> values, long next) {
-			Map<String, Optional<T>> entries = new LinkedHashMap<>();
-			List<String> unreadable = new ArrayList<>();
+		private Map<String, byte[]> named(Map<String, byte[]> values) {
+			Map<String, byte[]> named = new LinkedHashMap<>();
 			values.forEach((key, value) -> {
-				String name = key.startsWith(this.prefix) ? key.substring(this.prefix.length()) : key;
+				if (key.startsWith(this.prefix)) {
+					named.put(key.substring(this.prefix.length()), value);
+				}
+			});
+			return named;
+		}
+
+		@Override
+		public Page<T> decode(Map<String, byte[]> values, long nextOffset) {
+			Map<String, Optional<T>> entries = new LinkedHashMap<>();
+			values.forEach((name, value) -> {
 				if (value.length == 0) {
 					entries.put(name, Optional.empty());
 					return;
 				}
-				Try<Optional<T>> decoded = this.decoder.apply(key, value);
-				if (decoded.isFailure()) {
-					unreadable.add(key);
-					entries.put(name, Optional.empty());
-					LogEvent.RECORD_UNREADABLE.log("topic", this.topic, "key", key, "reason",
-							decoded.getCause().getMessage());
-				}
-				else {
-					decoded.get().ifPresent((entry) -> entries.put(name, Optional.of(entry)));
-				}
+				Try<T> decoded = this.decoder.apply(name, value);
+				decoded.onFailure((failure) -> LogEvent.RECORD_UNREADABLE.log("topic", this.topic, "name", name,
+						"reason", failure.getMessage()));
+				entries.put(name, decoded.toJavaOptional());
 			});
-			return new Page<>(entries, unreadable.size(), next, false);
+			return new Page<>(entries, values, nextOffset, false, null);
 		}
 
 	}
--- a/src/main/java/carawayswitch/route/Confirmation.java
+++ b/src/main/java/carawayswitch/route/Confirmation.java
@@ -51,6 +51,15 @@
 		return (age != UNKNOWN_AGE) ? age : -1;
 	}
 
+	/**
+	 * Returns the confirmation by a read that was some time older.
+	 * @param millis the time in milliseconds
+	 * @return the older confirmation
+	 */
+	public Confirmation minus(long millis) {
+		return new Confirmation(this.steadyMillis - millis, this.wallMillis - millis);
+	}
+
 	/**
 	 * Returns the newer of two confirmations.
 	 * @param other another confirmation
--- a/src/main/java/carawayswitch/standin/PlatformStandIn.java
+++ b/src/main/java/carawayswitch/standin/PlatformStandIn.java
@@ -10,9 +10,12 @@
 import java.util.Arrays;
 import java.util.Base64;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
@@ -67,6 +70,8 @@
 
 	private final AtomicLong calls = new AtomicLong();
 
+	private final Map<String, Set<Object>> readers = new HashMap<>();
+
 	private InetSocketAddress address;
 
 	private PlatformStandIn(Eventloop loop) {
@@ -150,6 +155,22 @@
 		return this.calls.get();
 	}
 
+	/**
+	 * Returns who has read a topic since {@link #forgetReaders}.
+	 * @param topic name of the topic
+	 * @return the connections, as opaque objects
+	 */
+	public Set<Object> readers(String topic) {
+		CompletableFuture<Set<Object>> result = new CompletableFuture<>();
+		this.loop.execute(() -> result.complete(Set.copyOf(this.readers.getOrDefault(topic, Set.of()))));
+		return result.join();
+	}
+
+	/** Forgets who has read. */
+	public void forgetReaders() {
+		this.loop.submit(this.readers::clear).join();
+	}
+
 	/** Stops the store. */
 	public void stop() {
 		this.loop.execute(() -> {
@@ -182,6 +203,7 @@
 			}
 		}
 		QueryStringDecoder query = new QueryStringDecoder(request.target());
+		this.readers.computeIfAbsent(parameter(query, "topic", ""), (topic) -> new HashSet<>()).add(connection);
 		switch (query.path()) {
 			case "/log-newest" -> newest(connection, parameter(query, "topic", ""));
 			case "/log-read" ->
--- /dev/null
+++ b/src/test/java/carawayswitch/gateway/RelayTests.java
@@ -0,0 +1,110 @@
+package carawayswitch.gateway;
+
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import carawayswitch.standin.PlatformFleet;
+import carawayswitch.standin.PlatformStandIn;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests of a fleet that is large enough for hosts to read the store for each other, on
+ * real sockets.
+ */
+class RelayTests {
+
+	private static final int HOSTS = 12;
+
+	private static final long LIMIT_MILLIS = 30_000;
+
+	private final HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+	private PlatformFleet fleet;
+
+	private int ids;
+
+	@BeforeEach
+	void start() throws Exception {
+		this.fleet = PlatformFleet.start(HOSTS);
+		await(() -> all(HOSTS, PlatformFleet.KEY, 200));
+	}
+
+	@AfterEach
+	void stop() {
+		this.fleet.stop();
+	}
+
+	private static void await(BooleanSupplier condition) {
+		long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LIMIT_MILLIS);
+		while (!condition.getAsBoolean()) {
+			assertThat(System.nanoTime()).as("the condition holds in time").isLessThan(deadline);
+			LockSupport.parkNanos(5_000_000);
+		}
+	}
+
+	private int status(int host, String key) {
+		var address = this.fleet.host(host).frontAddress();
+		URI uri = URI.create("http://" + address.getAddress().getHostAddress() + ":" + address.getPort() + "/book/1");
+		HttpRequest request = HttpRequest.newBuilder(uri)
+			.header("X-Attempt-Id", "attempt-" + this.ids++)
+			.header("X-Deadline-Ms", "3000")
+			.header("Authorization", "Bearer " + key)
+			.build();
+		try {
+			return this.client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
+		}
+		catch (Exception ex) {
+			return -1;
+		}
+	}
+
+	private boolean all(int hosts, String key, int status) {
+		return IntStream.range(0, hosts).allMatch((host) -> status(host, key) == status);
+	}
+
+	@Test
+	void mostHostsLearnOfChangesWithoutReadingTheStore() {
+		await(() -> readersIn(20) <= HOSTS / 2);
+		this.fleet.configure("second-key");
+		await(() -> all(HOSTS, "second-key", 200) && all(HOSTS, PlatformFleet.KEY, 401));
+	}
+
+	// Counts the connections on which the store is asked for endpoints while it is asked
+	// that often. Configurations are confirmed besides when they become old.
+	private int readersIn(int calls) {
+		this.fleet.store().forgetReaders();
+		long before = this.fleet.store().calls();
+		await(() -> this.fleet.store().calls() > before + calls);
+		return this.fleet.store().readers("keyed.servers").size();
+	}
+
+	@Test
+	void configurationReachesAllWhenTheHostsThatReadForOthersAreKilled() {
+		await(() -> readersIn(20) <= HOSTS / 2);
+		List<Integer> killed = IntStream.range(0, HOSTS / 2).boxed().toList();
+		killed.forEach((host) -> this.fleet.host(host).kill());
+		this.fleet.configure("third-key");
+		await(() -> IntStream.range(HOSTS / 2, HOSTS).allMatch((host) -> status(host, "third-key") == 200));
+	}
+
+	@Test
+	void noHostServesRequestsWithKeysOnceTheStoreIsAwayForLongAndAllDoAgainAfterwards() {
+		this.fleet.store().fault(PlatformStandIn.Fault.SILENT);
+		await(() -> all(HOSTS, PlatformFleet.KEY, 503));
+		this.fleet.store().fault(PlatformStandIn.Fault.NONE);
+		await(() -> all(HOSTS, PlatformFleet.KEY, 200));
+	}
+
+}
