Build: the warm-up's metrics port is chosen by the system

Cause: two builds at the same time on one machine, seen once: "Address already in use", the metrics port of the warm-up was fixed. Change: port 0 means the system's choice inside the product; the command line keeps 0 for none. Test: two hosts with metrics on one machine.

--- a/src/main/java/carawayswitch/cli/GatewayCommand.java
+++ b/src/main/java/carawayswitch/cli/GatewayCommand.java
@@ -90,7 +90,8 @@
 		if (!text.matches("\\d{1,5}") || Integer.parseInt(text) > 65535) {
 			throw new UsageException("--" + METRICS_PORT + " is \"" + text + "\"; valid: 0 to 65535");
 		}
-		return Integer.parseInt(text);
+		int port = Integer.parseInt(text);
+		return (port > 0) ? port : GatewayHost.NO_METRICS;
 	}
 
 	private static void watch(GatewayHost host, Path file, byte[] initial) throws InterruptedException {
--- a/src/main/java/carawayswitch/gateway/GatewayHost.java
+++ b/src/main/java/carawayswitch/gateway/GatewayHost.java
@@ -35,6 +35,9 @@
  */
 public final class GatewayHost {
 
+	/** In place of a port for a host that serves no metrics. */
+	public static final int NO_METRICS = -1;
+
 	/** Most log lines per second; about twice those of a busy second. */
 	private static final long LOG_LINES_PER_SECOND = 400;
 
@@ -130,6 +133,8 @@
 
 	private InetSocketAddress readinessAddress;
 
+	private InetSocketAddress metricsAddress;
+
 	private boolean ready;
 
 	private long clockDifference = Clocks.wallMillis() - Clocks.steadyMillis();
@@ -168,7 +173,8 @@
 	/**
 	 * Starts a host.
 	 * @param settings settings of the host
-	 * @param metricsPort port for metrics on the internal address, or 0 for none
+	 * @param metricsPort port for metrics on the internal address, 0 for one that the
+	 * system chooses, or {@link #NO_METRICS}
 	 * @param wire headers of requests and answers
 	 * @param platforms creates the adapter to the platform
 	 * @return the running host
@@ -203,8 +209,8 @@
 		this.readinessAddress = new StatusServer(this.loop,
 				(path) -> new StatusServer.Answer(ready() ? OK : UNAVAILABLE, ""))
 			.listen(settings.readiness());
-		if (metricsPort > 0) {
-			new StatusServer(this.loop, this::metricsPage)
+		if (metricsPort != NO_METRICS) {
+			this.metricsAddress = new StatusServer(this.loop, this::metricsPage)
 				.listen(new InetSocketAddress(settings.internal().getAddress(), metricsPort));
 		}
 		registerGauges();
@@ -342,6 +348,14 @@
 		return this.readinessAddress;
 	}
 
+	/**
+	 * Returns the address for metrics.
+	 * @return the address that the host listens on, or null if it serves no metrics
+	 */
+	public InetSocketAddress metricsAddress() {
+		return this.metricsAddress;
+	}
+
 	/**
 	 * Ends the host at once, as if its process were killed. For tests.
 	 */
--- a/src/main/java/carawayswitch/standin/PlatformFleet.java
+++ b/src/main/java/carawayswitch/standin/PlatformFleet.java
@@ -75,14 +75,15 @@
 	public static PlatformFleet start(int hosts) throws IOException {
 		PlatformFleet fleet = new PlatformFleet();
 		for (int i = 0; i < hosts; i++) {
-			fleet.addHost(0);
+			fleet.addHost(GatewayHost.NO_METRICS);
 		}
 		return fleet;
 	}
 
 	/**
 	 * Starts one more gateway host.
-	 * @param metricsPort port for metrics, or 0 for none
+	 * @param metricsPort port for metrics, 0 for one that the system chooses, or
+	 * {@link GatewayHost#NO_METRICS}
 	 * @return the host
 	 * @throws IOException if a port cannot be bound
 	 */
--- a/src/main/java/carawayswitch/standin/WarmUp.java
+++ b/src/main/java/carawayswitch/standin/WarmUp.java
@@ -16,8 +16,6 @@
  */
 public final class WarmUp {
 
-	private static final int METRICS_PORT = 39_464;
-
 	private static final int OK = 200;
 
 	private static final Duration READY_TIMEOUT = Duration.ofSeconds(20);
@@ -34,7 +32,7 @@
 	 */
 	public static void run() throws IOException, InterruptedException {
 		PlatformFleet fleet = PlatformFleet.start(1);
-		GatewayHost host = fleet.addHost(METRICS_PORT);
+		GatewayHost host = fleet.addHost(0);
 		HttpClient client = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 		awaitReady(client, host);
 		awaitReady(client, fleet.host(0));
@@ -42,7 +40,7 @@
 			ask(client, host.frontAddress(), path);
 			ask(client, fleet.host(0).frontAddress(), path);
 		}
-		ask(client, new InetSocketAddress("127.0.0.1", METRICS_PORT), "/metrics");
+		ask(client, host.metricsAddress(), "/metrics");
 		host.stop().join();
 		fleet.stop();
 	}
--- a/src/test/java/carawayswitch/gateway/GatewayTests.java
+++ b/src/test/java/carawayswitch/gateway/GatewayTests.java
@@ -61,9 +61,13 @@
 	}
 
 	private int status(InetSocketAddress address) {
+		return status(address, "/ready");
+	}
+
+	private int status(InetSocketAddress address, String path) {
 		try {
 			return this.client
-				.send(HttpRequest.newBuilder(uri(address, "/ready")).build(), HttpResponse.BodyHandlers.discarding())
+				.send(HttpRequest.newBuilder(uri(address, path)).build(), HttpResponse.BodyHandlers.discarding())
 				.statusCode();
 		}
 		catch (IOException ex) {
@@ -303,6 +307,15 @@
 		stopped.get(LIMIT_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
+	@Test
+	void twoHostsServeMetricsOnPortsOfTheSystemsChoiceOnOneMachine() throws Exception {
+		GatewayHost one = this.fleet.addHost(0);
+		GatewayHost two = this.fleet.addHost(0);
+		assertThat(status(one.metricsAddress(), "/metrics")).isEqualTo(200);
+		assertThat(status(two.metricsAddress(), "/metrics")).isEqualTo(200);
+		assertThat(this.fleet.host(0).metricsAddress()).isNull();
+	}
+
 	@ParameterizedTest
 	@ValueSource(ints = { 0, 1 })
 	void killedHostCostsTheOthersNoRequest(int killed) throws Exception {
