Pool: waits are estimated from sums, what engines can do is counted once for a moment

Cause: the owner of the pools looked at each waiting request and each engine for every request that arrived: at 99 engines and some hundred waiting requests that is more than an owner on a small host can do, found in reading. Change: WaitingQueue keeps sums by urgency and organisation; Capacity is made once for a moment; what is overdue is looked for each 10 ms. The decisions are the same but for that pause.

--- a/src/main/java/carawayswitch/schedule/EngineSpeed.java
+++ b/src/main/java/carawayswitch/schedule/EngineSpeed.java
@@ -24,6 +24,9 @@
 
 	private static final double MAX_FACTOR = 30;
 
+	/** Stands for the speed of no engine; only asked about no work. */
+	static final EngineSpeed NONE = new EngineSpeed();
+
 	/** Slowness against the assumed time to a first event. */
 	private double promptFactor = 1;
 
@@ -49,11 +52,22 @@
 		return nominal(promptTokens) * this.promptFactor;
 	}
 
+	/**
+	 * Returns the sum of the times to the first events of several requests that follow
+	 * each other.
+	 * @param requests number of requests
+	 * @param promptTokens tokens of all their prompts
+	 * @return time in milliseconds
+	 */
+	double firstEventMillis(int requests, long promptTokens) {
+		return (requests * BASE_MILLIS + promptTokens * PROMPT_TOKEN_MILLIS) * this.promptFactor;
+	}
+
 	double tokenMillis() {
 		return this.outputTokenMillis;
 	}
 
-	double streamMillis(int tokens, int running, int slots) {
+	double streamMillis(long tokens, int running, int slots) {
 		double crowding = 1 - BATCH_SHARE + BATCH_SHARE * running / Math.max(1, slots);
 		return tokens * this.outputTokenMillis * crowding;
 	}
--- a/src/main/java/carawayswitch/schedule/PoolScheduler.java
+++ b/src/main/java/carawayswitch/schedule/PoolScheduler.java
@@ -96,14 +96,20 @@
 	/** Shortest advised wait in milliseconds. */
 	static final long MIN_RETRY_MILLIS = 100;
 
+	/**
+	 * Time in milliseconds between two looks at all that waits and runs for what is
+	 * overdue; objectives are some hundred milliseconds.
+	 */
+	static final long LOOK_MILLIS = 10;
+
 	private static final double KV_SHARE = 0.95;
 
 	private final Map<String, EngineLoad> engines = new LinkedHashMap<>();
 
-	private final FairQueue queue = new FairQueue();
+	private final WaitingQueue queue = new WaitingQueue();
 
 	/** Waiting work that can no longer be on time. */
-	private final FairQueue late = new FairQueue();
+	private final WaitingQueue late = new WaitingQueue();
 
 	private final Map<String, PoolDemand> waiting = new HashMap<>();
 
@@ -125,10 +131,12 @@
 
 	private final long[] urgencySeenAt = new long[Tier.URGENCIES];
 
-	/** The fastest usable engine at {@link #fastestAt}, which many decisions ask for. */
-	private EngineLoad fastest;
+	/** What the engines can do at {@link #capacityAt}, which many decisions ask for. */
+	private Capacity capacity;
 
-	private long fastestAt = Long.MIN_VALUE;
+	private long capacityAt = Long.MIN_VALUE;
+
+	private long lookedAt = Long.MIN_VALUE / 2;
 
 	private final List<PoolDecision> refusals = new ArrayList<>();
 
@@ -142,7 +150,7 @@
 	 * @param accepting the engines
 	 */
 	public void engines(Collection<PoolEngine> accepting) {
-		forgetFastest();
+		forgetCapacity();
 		Set<String> ids = new HashSet<>();
 		for (PoolEngine engine : accepting) {
 			ids.add(engine.id());
@@ -166,7 +174,7 @@
 			return;
 		}
 		this.urgencySeenAt[work.urgency()] = now;
-		if (usableSlots(now) == 0) {
+		if (capacity(now).usableSlots == 0) {
 			refuse(demand, EndpointHealth.FIRST_PAUSE_MILLIS, "no_engine", now);
 			return;
 		}
@@ -190,7 +198,7 @@
 		}
 	}
 
-	private void admit(FairQueue to, PoolDemand demand, boolean first) {
+	private void admit(WaitingQueue to, PoolDemand demand, boolean first) {
 		if (first) {
 			to.addFirst(demand.work());
 		}
@@ -239,95 +247,56 @@
 		for (int i = urgency; i < this.demandMillis.length; i++) {
 			sum += this.demandMillis[i];
 		}
-		return sum / DEMAND_MILLIS / Math.max(1, effectiveSlots(now));
+		return sum / DEMAND_MILLIS / Math.max(1, capacity(now).effectiveSlots);
 	}
 
 	// Time that the work occupies a slot of the fastest engine when its slots are taken.
 	private double occupation(Work work, long now) {
-		EngineLoad fastest = fastest(now);
+		EngineLoad fastest = capacity(now).fastest;
 		return (fastest != null) ? fastest.speed.firstEventMillis(work.promptTokens())
 				+ fastest.speed.streamMillis(work.expectedTokens(), 1, 1) : 0;
 	}
 
-	private EngineLoad fastest(long now) {
-		if (now != this.fastestAt) {
-			this.fastestAt = now;
-			this.fastest = null;
-			for (EngineLoad load : this.engines.values()) {
-				if (load.usable(now)
-						&& (this.fastest == null || load.speed.tokenMillis() < this.fastest.speed.tokenMillis())) {
-					this.fastest = load;
-				}
-			}
+	private Capacity capacity(long now) {
+		if (this.capacity == null || now != this.capacityAt) {
+			this.capacityAt = now;
+			this.capacity = new Capacity(this.engines.values(), now);
 		}
-		return this.fastest;
+		return this.capacity;
 	}
 
-	private void forgetFastest() {
-		this.fastestAt = Long.MIN_VALUE;
+	private void forgetCapacity() {
+		this.capacity = null;
 	}
 
 	// Time that must be left for a first event on time. A prompt that no engine reads in
 	// time
 	// is given the chance of the others: large requests are served as small ones are.
 	private double neededMillis(PoolDemand demand, long now) {
-		EngineLoad fastest = fastest(now);
+		EngineLoad fastest = capacity(now).fastest;
 		double first = (fastest != null) ? fastest.speed.firstEventMillis(demand.work().promptTokens()) : 0;
 		return Math.min(first, (demand.objectiveAt() - demand.work().arrivalMillis()) * MAX_FIRST_EVENT_SHARE);
 	}
 
-	// Slots of the fastest engine that could do what all usable engines can do.
-	private double effectiveSlots(long now) {
-		EngineLoad fastest = fastest(now);
-		double slots = 0;
-		for (EngineLoad load : this.engines.values()) {
-			slots += load.usable(now)
-					? load.engine.slots() * fastest.speed.tokenMillis() / Math.max(0.001, load.speed.tokenMillis()) : 0;
-		}
-		return slots;
-	}
-
 	// Time until work would start if all work of a queue that goes before it were served
 	// first. Other organisations go before it no more than its own does.
-	private double waitMillis(Work work, FairQueue before, long now) {
+	private double waitMillis(Work work, WaitingQueue before, long now) {
 		int urgency = work.urgency();
-		if (before == this.queue && this.waiting.isEmpty() && freeSlots(now) > reserve(urgency, now)) {
+		Capacity can = capacity(now);
+		if (before == this.queue && this.waiting.isEmpty() && can.freeSlots > reserve(urgency, now)) {
 			return 0;
 		}
 		double ahead = 0;
-		Map<String, Double> byOrganisation = new HashMap<>();
-		for (PoolDemand demand : this.waiting.values()) {
-			Work other = demand.work();
-			if (before.contains(other.id()) && other.urgency() > urgency) {
-				ahead += occupation(other, now);
-			}
-			else if (before.contains(other.id()) && other.urgency() == urgency) {
-				byOrganisation.merge(other.organisation(), occupation(other, now), Double::sum);
-			}
+		for (int higher = urgency + 1; higher < Tier.URGENCIES; higher++) {
+			ahead += before.amount(higher).occupation(can.speed());
 		}
-		double own = byOrganisation.getOrDefault(work.organisation(), 0.0) + occupation(work, now);
-		for (Map.Entry<String, Double> entry : byOrganisation.entrySet()) {
-			boolean same = entry.getKey().equals(work.organisation());
-			ahead += same ? entry.getValue() : Math.min(entry.getValue(), own);
+		double own = before.amount(urgency, work.organisation()).occupation(can.speed()) + occupation(work, now);
+		for (Map.Entry<String, WaitingQueue.Amount> entry : before.byOrganisation(urgency).entrySet()) {
+			double others = entry.getValue().occupation(can.speed());
+			ahead += entry.getKey().equals(work.organisation()) ? others : Math.min(others, own);
 		}
 		double higher = (urgency < Tier.HIGHEST_URGENCY) ? demandShare(urgency + 1, now) : 0;
-		return ahead / Math.max(1, effectiveSlots(now)) / Math.max(LOWER_SHARE, 1 - higher);
-	}
-
-	private int usableSlots(long now) {
-		int slots = 0;
-		for (EngineLoad load : this.engines.values()) {
-			slots += load.usable(now) ? load.engine.slots() : 0;
-		}
-		return slots;
-	}
-
-	private int freeSlots(long now) {
-		int free = 0;
-		for (EngineLoad load : this.engines.values()) {
-			free += load.usable(now) ? Math.max(0, load.engine.slots() - load.running.size()) : 0;
-		}
-		return free;
+		return ahead / Math.max(1, can.effectiveSlots) / Math.max(LOWER_SHARE, 1 - higher);
 	}
 
 	// Returns the slots that work of an urgency must leave free for more urgent work.
@@ -336,7 +305,7 @@
 		for (int higher = urgency + 1; higher < Tier.URGENCIES; higher++) {
 			steps += (now - this.urgencySeenAt[higher] < URGENCY_MEMORY_MILLIS) ? 1 : 0;
 		}
-		return (int) Math.round(usableSlots(now) * RESERVE_SHARE * steps);
+		return (int) Math.round(capacity(now).usableSlots * RESERVE_SHARE * steps);
 	}
 
 	/**
@@ -345,8 +314,11 @@
 	 * @return grants and refusals
 	 */
 	public List<PoolDecision> decide(long now) {
-		suspectOverdue(now);
-		expire(now);
+		if (now - this.lookedAt >= LOOK_MILLIS) {
+			this.lookedAt = now;
+			suspectOverdue(now);
+			expire(now);
+		}
 		List<PoolDecision> decisions = new ArrayList<>(this.refusals);
 		this.refusals.clear();
 		startCredited(now, decisions);
@@ -371,16 +343,16 @@
 
 	// Starts waiting work of one urgency. Returns true if no more of it waits, so that
 	// less urgent work may start.
-	private boolean startAll(FairQueue from, int urgency, long now, List<PoolDecision> decisions) {
+	private boolean startAll(WaitingQueue from, int urgency, long now, List<PoolDecision> decisions) {
 		for (Work work = from.peek(urgency); work != null; work = from.peek(urgency)) {
-			if (freeSlots(now) <= reserve(urgency, now) || !startNext(from, work, now, decisions)) {
+			if (capacity(now).freeSlots <= reserve(urgency, now) || !startNext(from, work, now, decisions)) {
 				return false;
 			}
 		}
 		return true;
 	}
 
-	private boolean startNext(FairQueue from, Work work, long now, List<PoolDecision> decisions) {
+	private boolean startNext(WaitingQueue from, Work work, long now, List<PoolDecision> decisions) {
 		PoolDemand demand = this.waiting.get(work.id());
 		EngineLoad best = choose(demand, now);
 		if (best == null) {
@@ -425,21 +397,26 @@
 
 	private PoolDecision start(PoolDemand demand, EngineLoad load, long now) {
 		if (!load.health.trusted(now)) {
-			forgetFastest();
+			forgetCapacity();
 			load.health.tried(now);
 		}
 		double expected = load.speed.firstEventMillis(load.promptBacklog() + demand.work().promptTokens());
 		Running attempt = new Running(demand, load.engine.id(), now, expected, load.promptBacklog());
 		this.running.put(demand.id(), attempt);
 		load.running.put(demand.id(), attempt);
+		capacity(now).freeSlots--;
 		return new PoolDecision(demand, load.engine.id(), 0,
 				"running_" + load.running.size() + "_expected_" + (long) expected);
 	}
 
 	private void expire(long now) {
+		boolean[] overloaded = new boolean[Tier.URGENCIES];
+		for (int urgency = 0; urgency < overloaded.length; urgency++) {
+			overloaded[urgency] = overloaded(urgency, now);
+		}
 		for (PoolDemand demand : List.copyOf(this.waiting.values())) {
 			Work work = demand.work();
-			boolean hopeless = this.late.contains(work.id()) && overloaded(work.urgency(), now);
+			boolean hopeless = overloaded[work.urgency()] && this.late.contains(work.id());
 			if (now >= work.deadlineMillis() || hopeless) {
 				long advised = retryAfter(demand, MIN_RETRY_MILLIS, now);
 				forget(work.id());
@@ -463,7 +440,7 @@
 				double limit = attempt.expectedMillis * OVERDUE_FACTOR + OVERDUE_MILLIS;
 				if (!attempt.started && now - attempt.startedAt > limit) {
 					load.health.overdue(now);
-					forgetFastest();
+					forgetCapacity();
 				}
 			}
 		}
@@ -478,7 +455,7 @@
 		Running attempt = this.running.get(id);
 		EngineLoad load = (attempt != null) ? this.engines.get(attempt.engine) : null;
 		if (load != null && !attempt.started) {
-			forgetFastest();
+			forgetCapacity();
 			attempt.started = true;
 			load.health.trust();
 			load.speed.onFirstEvent(attempt.backlog + attempt.demand.work().promptTokens(), millis);
@@ -500,7 +477,7 @@
 		}
 		EngineLoad load = this.engines.get(attempt.engine);
 		if (load != null) {
-			forgetFastest();
+			forgetCapacity();
 			load.running.remove(id);
 			load.health.ended(result, now);
 			load.speed.onStream(outputTokens, streamMillis);
@@ -519,6 +496,7 @@
 		Running attempt = this.running.remove(id);
 		if (attempt != null && this.engines.containsKey(attempt.engine)) {
 			this.engines.get(attempt.engine).running.remove(id);
+			forgetCapacity();
 		}
 	}
 
@@ -543,6 +521,7 @@
 		if (load != null && !this.running.containsKey(demand.id())) {
 			Running attempt = new Running(demand, engine, now, 0, 0);
 			attempt.started = true;
+			forgetCapacity();
 			this.running.put(demand.id(), attempt);
 			load.running.put(demand.id(), attempt);
 		}
@@ -580,6 +559,44 @@
 		return this.running.size();
 	}
 
+	/**
+	 * What the engines can do at a moment. Confined to its scheduler.
+	 */
+	private static final class Capacity {
+
+		/** The usable engine with the shortest time per token, or null. */
+		final EngineLoad fastest;
+
+		final int usableSlots;
+
+		/** Slots of the fastest engine that could do what all usable engines can do. */
+		final double effectiveSlots;
+
+		int freeSlots;
+
+		Capacity(Collection<EngineLoad> engines, long now) {
+			EngineLoad best = null;
+			int usable = 0;
+			double slotsPerToken = 0;
+			for (EngineLoad load : engines) {
+				if (load.usable(now)) {
+					best = (best == null || load.speed.tokenMillis() < best.speed.tokenMillis()) ? load : best;
+					usable += load.engine.slots();
+					slotsPerToken += load.engine.slots() / Math.max(0.001, load.speed.tokenMillis());
+					this.freeSlots += Math.max(0, load.engine.slots() - load.running.size());
+				}
+			}
+			this.fastest = best;
+			this.usableSlots = usable;
+			this.effectiveSlots = (best != null) ? slotsPerToken * best.speed.tokenMillis() : 0;
+		}
+
+		EngineSpeed speed() {
+			return (this.fastest != null) ? this.fastest.speed : EngineSpeed.NONE;
+		}
+
+	}
+
 	/**
 	 * An attempt on an engine. Confined to its scheduler.
 	 */
--- /dev/null
+++ b/src/test/java/carawayswitch/schedule/WaitingQueueTests.java
@@ -0,0 +1,60 @@
+package carawayswitch.schedule;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+import carawayswitch.config.PressurePolicy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+/**
+ * Tests that the amounts of waiting work are those of the work that waits.
+ */
+class WaitingQueueTests {
+
+	private static Work work(int number) {
+		return new Work("w" + number, number % 5, "kind" + number % 2, 1, "organisation" + number % 3, 1,
+				PressurePolicy.WAIT, 10 * number, 0, 0, 3 * number, 0, 0, 1000);
+	}
+
+	@Property(tries = 200)
+	void amountsAreThoseOfTheWorkThatWaits(@ForAll @Size(max = 80) List<@IntRange(min = 1, max = 40) Integer> steps) {
+		WaitingQueue queue = new WaitingQueue();
+		List<Work> waiting = new ArrayList<>();
+		for (int step : steps) {
+			Work work = work(step);
+			if (waiting.contains(work)) {
+				assertThat(queue.remove(work.id())).isEqualTo(work);
+				waiting.remove(work);
+			}
+			else if (step % 7 == 0 && queue.peek(work.urgency()) != null) {
+				waiting.remove(queue.poll(work.urgency()));
+			}
+			else {
+				queue.add(work);
+				waiting.add(work);
+			}
+		}
+		EngineSpeed speed = new EngineSpeed();
+		for (int urgency = 0; urgency < 5; urgency++) {
+			int level = urgency;
+			assertThat(queue.amount(urgency).occupation(speed)).isEqualTo(waiting.stream()
+				.filter((work) -> work.urgency() == level)
+				.mapToDouble((work) -> speed.firstEventMillis(work.promptTokens())
+						+ speed.streamMillis(work.expectedTokens(), 1, 1))
+				.sum(), within(0.001));
+			assertThat(queue.byOrganisation(urgency).keySet()).containsExactlyInAnyOrderElementsOf(waiting.stream()
+				.filter((work) -> work.urgency() == level)
+				.map(Work::organisation)
+				.distinct()
+				.toList());
+		}
+	}
+
+}
