Load: less urgent work yields everywhere while protected work is at risk

Change: protected work of which half of the time has passed in a queue is at risk; work below its urgency is refused and dropped there, and, by the digests, at all endpoints that serve the same services.

--- a/src/main/java/carawayswitch/dispatch/EndpointOwner.java
+++ b/src/main/java/carawayswitch/dispatch/EndpointOwner.java
@@ -189,6 +189,16 @@
 		return neverDispatched;
 	}
 
+	/**
+	 * Makes less urgent work yield to protected work that is at risk elsewhere.
+	 * @param endpoint id of that endpoint
+	 * @param urgency urgency below which work yields, or 0
+	 * @param now time in milliseconds
+	 */
+	void yieldBelow(String endpoint, int urgency, long now) {
+		this.scheduler.yieldBelow(endpoint, urgency, now);
+	}
+
 	private void pump() {
 		long now = this.reactor.currentTimeMillis();
 		this.scheduler.takeExpired(now).forEach((work) -> dropQueued(work, ErrorKind.DEADLINE_CANNOT_BE_MET));
@@ -283,7 +293,7 @@
 		boolean open = this.breaker.getState() == CircuitBreaker.State.OPEN;
 		this.digest = open ? new EndpointDigest(current.endpoint(), current.queuedMillis(), current.running(),
 				current.lowestUrgency(), current.limit(), true, current.millisPerToken(),
-				current.prefillMillisPerToken()) : current;
+				current.prefillMillisPerToken(), current.yieldBelow()) : current;
 		return this.digest;
 	}
 
--- a/src/main/java/carawayswitch/dispatch/EndpointOwners.java
+++ b/src/main/java/carawayswitch/dispatch/EndpointOwners.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
@@ -179,6 +180,22 @@
 		});
 	}
 
+	/**
+	 * Takes in the load of an endpoint. Work yields to protected work that is at risk
+	 * there where the same services are served.
+	 * @param digest the load
+	 * @param now time in milliseconds
+	 */
+	public void onDigest(EndpointDigest digest, long now) {
+		this.configuration.state().find(Endpoint.class, EntityKind.ENDPOINT, digest.endpoint()).forEach((other) -> {
+			for (Placed placed : this.owners.values()) {
+				if (!Collections.disjoint(placed.endpoint().services(), other.services())) {
+					run(placed, (owner) -> owner.yieldBelow(digest.endpoint(), digest.yieldBelow(), now));
+				}
+			}
+		});
+	}
+
 	/**
 	 * Describes the load of all owned endpoints.
 	 * @return the digests
--- a/src/main/java/carawayswitch/host/CarawayHost.java
+++ b/src/main/java/carawayswitch/host/CarawayHost.java
@@ -48,6 +48,7 @@
 import carawayswitch.message.ConfigurationChange;
 import carawayswitch.message.ForwardRequest;
 import carawayswitch.message.GuardAssignment;
+import carawayswitch.message.EndpointDigest;
 import carawayswitch.message.Heartbeat;
 import carawayswitch.message.LogRecord;
 import carawayswitch.message.Member;
@@ -290,7 +291,7 @@
 	private void heartbeat() {
 		long now = MonotonicClock.millis();
 		refreshView(now);
-		this.owners.digests().forEach((digest) -> this.entry.onDigest(digest, now));
+		this.owners.digests().forEach((digest) -> onDigest(digest, now));
 		for (String peer : this.membership.nextRound(now)) {
 			this.transport.send(peer, heartbeatMessage(false, now));
 		}
@@ -300,6 +301,11 @@
 		}
 	}
 
+	private void onDigest(EndpointDigest digest, long now) {
+		this.entry.onDigest(digest, now);
+		this.owners.onDigest(digest, now);
+	}
+
 	private Heartbeat heartbeatMessage(boolean reply, long now) {
 		return new Heartbeat(this.membership.self(), this.owners.digests(), this.membership.membersToPass(now), reply);
 	}
@@ -449,7 +455,7 @@
 		long now = MonotonicClock.millis();
 		boolean leavingBefore = isLeaving(peer);
 		this.membership.onHeartbeat(heartbeat, now);
-		heartbeat.digests().forEach((digest) -> this.entry.onDigest(digest, now));
+		heartbeat.digests().forEach((digest) -> onDigest(digest, now));
 		if (heartbeat.self().leaving() != leavingBefore || !this.view.get().live().containsKey(peer)) {
 			refreshView(now);
 		}
--- a/src/main/java/carawayswitch/measure/BaselineFront.java
+++ b/src/main/java/carawayswitch/measure/BaselineFront.java
@@ -91,10 +91,15 @@
 		return this.queue.stream().map(Entry::work).toList();
 	}
 
+	@Override
+	public void yieldBelow(String endpoint, int urgency, long now) {
+		// The baselines know no protected work.
+	}
+
 	@Override
 	public EndpointDigest digest(long now) {
 		return new EndpointDigest(this.id, List.of(this.queue.size()), this.running.size(), -1, this.limit,
-				this.leaving, 0, 0);
+				this.leaving, 0, 0, 0);
 	}
 
 	private record Entry(long sequence, Work work) {
--- a/src/main/java/carawayswitch/measure/EngineFront.java
+++ b/src/main/java/carawayswitch/measure/EngineFront.java
@@ -34,4 +34,6 @@
 
 	EndpointDigest digest(long now);
 
+	void yieldBelow(String endpoint, int urgency, long now);
+
 }
--- a/src/main/java/carawayswitch/measure/SchedulerFront.java
+++ b/src/main/java/carawayswitch/measure/SchedulerFront.java
@@ -73,6 +73,11 @@
 		return this.scheduler.queued();
 	}
 
+	@Override
+	public void yieldBelow(String endpoint, int urgency, long now) {
+		this.scheduler.yieldBelow(endpoint, urgency, now);
+	}
+
 	@Override
 	public EndpointDigest digest(long now) {
 		return this.scheduler.digest(now);
--- a/src/main/java/carawayswitch/measure/Simulation.java
+++ b/src/main/java/carawayswitch/measure/Simulation.java
@@ -100,8 +100,12 @@
 
 	private void publishDigests() {
 		if (this.policy == MeasuredPolicy.CURRENT) {
-			for (Owner owner : this.owners) {
-				EndpointDigest digest = owner.front.digest(this.clock.now());
+			List<EndpointDigest> digests = this.owners.stream()
+				.map((owner) -> owner.front.digest(this.clock.now()))
+				.toList();
+			for (EndpointDigest digest : digests) {
+				this.owners.forEach(
+						(owner) -> owner.front.yieldBelow(digest.endpoint(), digest.yieldBelow(), this.clock.now()));
 				this.entries.forEach((entry) -> entry.onDigest(digest));
 			}
 		}
--- a/src/main/java/carawayswitch/schedule/EndpointScheduler.java
+++ b/src/main/java/carawayswitch/schedule/EndpointScheduler.java
@@ -19,6 +19,8 @@
  * <ul>
  * <li>Protected work is refused or dropped only while no less urgent work is queued or
  * runs here, or after its deadline.</li>
+ * <li>While protected work is at risk here or, as far as is known, elsewhere, less urgent
+ * work is neither taken nor kept in the queue.</li>
  * <li>Work that cannot meet its deadline is dropped before it is dispatched.</li>
  * <li>At most the concurrency limit runs, and at most the KV cache's capacity is
  * promised.</li>
@@ -59,6 +61,15 @@
 	/** Share of its time that protected work must have left at most. */
 	static final double PROTECTED_SHARE = 0.8;
 
+	/**
+	 * Part of the time of protected work that may pass in a queue before less urgent work
+	 * yields.
+	 */
+	static final double RISK_SHARE = 0.5;
+
+	/** Time in milliseconds for which work yields after it was told to. */
+	static final long YIELD_MILLIS = 1500;
+
 	private static final double LOWER_LIMIT_SHARE = 0.85;
 
 	private static final double STALL_FACTOR = 4;
@@ -90,6 +101,12 @@
 
 	private long kvPromised;
 
+	/** Urgency below which work yields, since protected work is at risk here, or 0. */
+	private int ownYield;
+
+	/** The same of other endpoints. */
+	private final Map<String, Told> told = new HashMap<>();
+
 	private double reserveCredit;
 
 	private boolean leaving;
@@ -123,6 +140,9 @@
 			return Offer.refused(ErrorKind.NO_ENDPOINT, 0);
 		}
 		double wait = waitMillis(work);
+		if (yields(work, now)) {
+			return Offer.refused(ErrorKind.OVERLOADED, (long) wait);
+		}
 		boolean late = now + wait + neededMillis(work, ADMISSION_MARGIN) > work.deadlineMillis();
 		boolean refused = late || wait > this.bounds.maxWaitMillis();
 		if (refused && mayShed(work)) {
@@ -139,6 +159,46 @@
 		return Offer.accepted(dropped);
 	}
 
+	private boolean yields(Work work, long now) {
+		return work.urgency() < yieldBelow(now);
+	}
+
+	private int yieldBelow(long now) {
+		int highest = this.ownYield;
+		for (Told each : this.told.values()) {
+			highest = Math.max(highest, (now < each.until()) ? each.urgency() : 0);
+		}
+		return highest;
+	}
+
+	/**
+	 * Tells whether protected work is at risk at another endpoint that serves the same,
+	 * so that less urgent work yields here too. Holds until the next word of that
+	 * endpoint, but not for long.
+	 * @param endpoint id of the endpoint
+	 * @param urgency urgency below which work yields, or 0
+	 * @param now time in milliseconds
+	 */
+	public void yieldBelow(String endpoint, int urgency, long now) {
+		if (urgency > 0) {
+			this.told.put(endpoint, new Told(urgency, now + YIELD_MILLIS));
+		}
+		else {
+			this.told.remove(endpoint);
+		}
+	}
+
+	// Protected work is at risk when much of its time has passed while it waits.
+	private void lookForRisk(long now) {
+		this.ownYield = 0;
+		for (Work work : queued()) {
+			double passed = (double) (now - work.arrivalMillis()) / (work.deadlineMillis() - work.arrivalMillis());
+			if (work.pressure() == PressurePolicy.PROTECT && passed > RISK_SHARE) {
+				this.ownYield = Math.max(this.ownYield, work.urgency());
+			}
+		}
+	}
+
 	private boolean mayShed(Work work) {
 		return work.pressure() != PressurePolicy.PROTECT || !lowerWorkPresent(work.urgency());
 	}
@@ -403,14 +463,16 @@
 				head = this.queue.peek(urgency);
 			}
 		}
-		if (this.late.isEmpty()) {
-			return List.of();
+		lookForRisk(now);
+		List<Work> taken = new ArrayList<>();
+		if (yieldBelow(now) > 0) {
+			this.queue.all().stream().filter((work) -> yields(work, now)).forEach(taken::add);
 		}
-		List<Work> taken = this.late.values()
+		this.late.values()
 			.stream()
-			.filter((work) -> now >= work.deadlineMillis() || mayShed(work))
-			.toList();
-		taken.forEach((work) -> this.late.remove(work.id()));
+			.filter((work) -> now >= work.deadlineMillis() || mayShed(work) || yields(work, now))
+			.forEach(taken::add);
+		taken.forEach((work) -> cancelQueued(work.id()));
 		return taken;
 	}
 
@@ -452,7 +514,7 @@
 			queued.add((int) (this.queue.levelCost(urgency) * millisPerToken / limit()));
 		}
 		return new EndpointDigest(this.id, queued, this.running.size(), lowestUrgency(), limit(), this.leaving,
-				millisPerToken, this.speed.prefillMillis(1));
+				millisPerToken, this.speed.prefillMillis(1), this.ownYield);
 	}
 
 	private double effectiveMillisPerToken(long now) {
@@ -466,6 +528,16 @@
 		return (silence > usual * STALL_FACTOR) ? silence : usual;
 	}
 
+	/**
+	 * Urgency below which work yields to another endpoint's. Immutable.
+	 *
+	 * @param urgency the urgency
+	 * @param until time until which this holds in milliseconds
+	 */
+	private record Told(int urgency, long until) {
+
+	}
+
 	/**
 	 * Bounds of a queue. Immutable.
 	 *
--- a/src/test/java/carawayswitch/schedule/EndpointSchedulerTests.java
+++ b/src/test/java/carawayswitch/schedule/EndpointSchedulerTests.java
@@ -100,6 +100,39 @@
 		assertThat(scheduler.next(EndpointScheduler.PREEMPT_AFTER_MILLIS)).isEqualTo(high);
 	}
 
+	private static Work atRisk(Work work) {
+		return new Work(work.id(), work.urgency(), work.kind(), 1, work.organisation(), 1, work.pressure(), 0, 0, 0, 10,
+				100, 0, 1000);
+	}
+
+	@Test
+	void queuedWorkYieldsWhileMoreUrgentProtectedWorkIsAtRisk() {
+		EndpointScheduler scheduler = scheduler(1, FAR);
+		scheduler.offer(work(4, "r", "o"), 0);
+		scheduler.next(0);
+		scheduler.offer(atRisk(work(3, "p", "o", PressurePolicy.PROTECT, 1000)), 0);
+		Work low = work(2, "k", "o");
+		scheduler.offer(low, 0);
+		assertThat(scheduler.takeExpired(400)).isEmpty();
+		assertThat(scheduler.takeExpired(600)).containsExactly(low);
+		assertThat(scheduler.offer(work(2, "k", "o"), 600).accepted()).isFalse();
+		assertThat(scheduler.offer(work(3, "k", "o"), 600).accepted()).isTrue();
+		assertThat(scheduler.digest(600).yieldBelow()).isEqualTo(3);
+	}
+
+	@Test
+	void workYieldsToProtectedWorkThatIsAtRiskElsewhereUntilNothingIsHeardOfIt() {
+		EndpointScheduler scheduler = scheduler(1, FAR);
+		scheduler.yieldBelow("other", 3, 0);
+		scheduler.yieldBelow("third", 0, 10);
+		assertThat(scheduler.offer(work(2, "k", "o"), 20).accepted()).isFalse();
+		assertThat(scheduler.offer(work(3, "k", "o"), 20).accepted()).isTrue();
+		assertThat(scheduler.offer(work(2, "k", "o"), EndpointScheduler.YIELD_MILLIS).accepted()).isTrue();
+		scheduler.yieldBelow("other", 3, 0);
+		scheduler.yieldBelow("other", 0, 10);
+		assertThat(scheduler.offer(work(2, "k", "o"), 20).accepted()).isTrue();
+	}
+
 	@Test
 	void leavingEndpointTakesNoNewWork() {
 		EndpointScheduler scheduler = scheduler(1, FAR);
