Fault soak: gateways as processes under faults from outside, with the promises checked by clients and stand-ins

Not covered: connections between gateways, steps of clocks. host.started tells the addresses that the host listens on, not those of its settings.

--- a/src/main/java/carawayswitch/gateway/GatewayHost.java
+++ b/src/main/java/carawayswitch/gateway/GatewayHost.java
@@ -215,7 +215,8 @@
 		}
 		registerGauges();
 		this.context.log.write(LogEvent.HOST_STARTED, "host", settings.host(), "zone", settings.zone(), "http",
-				settings.front(), "internal", settings.internal(), "incarnation", this.self.incarnation());
+				this.frontAddress, "readiness", this.readinessAddress, "internal", this.self.address(), "incarnation",
+				this.self.incarnation());
 		this.configurations.start();
 		this.endpoints.start();
 		this.directory.start();
--- a/src/main/java/carawayswitch/standin/EndpointStandIn.java
+++ b/src/main/java/carawayswitch/standin/EndpointStandIn.java
@@ -108,9 +108,19 @@
 	 * @return the entry
 	 */
 	public byte[] entry(String state) {
+		return entry(state, this.address);
+	}
+
+	/**
+	 * Returns the entry of an endpoint that is reached at another address.
+	 * @param state {@code ready} or {@code draining}
+	 * @param reachedAt the address
+	 * @return the entry
+	 */
+	public byte[] entry(String state, InetSocketAddress reachedAt) {
 		ObjectNode entry = Json.object()
 			.put("service", this.service)
-			.put("address", this.address.getHostString() + ":" + this.address.getPort())
+			.put("address", reachedAt.getHostString() + ":" + reachedAt.getPort())
 			.put("zone", "a")
 			.put("version", "v1")
 			.put("slots", SLOTS)
@@ -129,6 +139,14 @@
 		return this.id;
 	}
 
+	/**
+	 * Returns where the endpoint listens.
+	 * @return the address
+	 */
+	public InetSocketAddress address() {
+		return this.address;
+	}
+
 	/**
 	 * Changes how requests are answered.
 	 * @param newManner the manner from now on
--- a/src/main/java/carawayswitch/standin/PlatformFleet.java
+++ b/src/main/java/carawayswitch/standin/PlatformFleet.java
@@ -103,7 +103,17 @@
 	 */
 	public synchronized void configure(String... keys) {
 		this.version++;
-		ObjectNode configuration = Json.object().put("version", this.version);
+		this.store.put("keyed.op", "config", configuration(this.version, keys));
+	}
+
+	/**
+	 * Returns a configuration with a route of each kind.
+	 * @param version its version
+	 * @param keys the keys of the only organisation
+	 * @return the configuration as the store holds it
+	 */
+	public static byte[] configuration(int version, String... keys) {
+		ObjectNode configuration = Json.object().put("version", version);
 		ArrayNode routes = configuration.putArray("routes");
 		route(routes, "report", "streaming", ENGINE_SERVICE, 1).put("priority", 0);
 		route(routes, "summary", "streaming", ENGINE_SERVICE, 3).put("priority", 1).put("stream-resume", true);
@@ -130,7 +140,7 @@
 		for (String key : keys) {
 			apiKeys.add(key);
 		}
-		this.store.put("keyed.op", "config", Json.bytes(configuration));
+		return Json.bytes(configuration);
 	}
 
 	private static ObjectNode route(ArrayNode routes, String name, String kind, String service, int attempts) {
--- /dev/null
+++ b/src/test/java/carawayswitch/soak/GatewayProcess.java
@@ -0,0 +1,139 @@
+package carawayswitch.soak;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+
+import carawayswitch.http.Json;
+
+/**
+ * One gateway as a process of its own that is started again whenever it ends, as a
+ * platform does. Only processes that were started here get signals. Safe for use by
+ * several threads.
+ */
+final class GatewayProcess {
+
+	/** Bounds of the deployment, in milliseconds. */
+	static final long REVOKE_MILLIS = 3000;
+
+	static final long GRACE_MILLIS = 4000;
+
+	static final long DRAIN_MILLIS = 2000;
+
+	private static final Pattern ADDRESSES = Pattern
+		.compile("event=host.started .*http=\\S*?:(\\d+) readiness=\\S*?:(\\d+)");
+
+	private static final long RESTART_MILLIS = 100;
+
+	private final String name;
+
+	private final Path folder;
+
+	private final Path log;
+
+	private volatile Process process;
+
+	private volatile int frontPort;
+
+	private volatile boolean ended;
+
+	GatewayProcess(String name, Path folder, InetSocketAddress store) throws IOException {
+		this.name = name;
+		this.folder = folder;
+		this.log = folder.resolve(name + ".log");
+		ObjectNode boot = Json.object().put("node-name", name).put("zone", "a").put("ip", "127.0.0.1");
+		boot.putObject("listen").put("front", "127.0.0.1:0").put("readiness", "127.0.0.1:0");
+		boot.putArray("internal-port-range").add(0).add(0);
+		boot.putObject("platform").put("address", store.getHostString() + ":" + store.getPort());
+		boot.putObject("bounds")
+			.put("revoke-ms", REVOKE_MILLIS)
+			.put("grace-s", GRACE_MILLIS / 1000.0)
+			.put("drain-ms", DRAIN_MILLIS)
+			.put("budget-extra", 54)
+			.put("quota-slack", 140_000);
+		Files.write(bootFile(), Json.bytes(boot));
+		Thread thread = new Thread(this::keepRunning, name);
+		thread.setDaemon(true);
+		thread.start();
+	}
+
+	private Path bootFile() {
+		return this.folder.resolve(this.name + ".json");
+	}
+
+	private void keepRunning() {
+		try {
+			while (!this.ended) {
+				this.frontPort = 0;
+				this.process = new ProcessBuilder(List.of(
+						Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx96m",
+						"-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-cp", System.getProperty("java.class.path"),
+						"carawayswitch.cli.Main", "gateway", "--config", bootFile().toString()))
+					.redirectErrorStream(true)
+					.start();
+				readLog(this.process);
+				this.process.waitFor();
+				TimeUnit.MILLISECONDS.sleep(RESTART_MILLIS);
+			}
+		}
+		catch (IOException | InterruptedException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
+	private void readLog(Process running) throws IOException {
+		try (BufferedReader reader = new BufferedReader(new InputStreamReader(running.getInputStream()));
+				var writer = Files.newBufferedWriter(this.log, java.nio.file.StandardOpenOption.CREATE,
+						java.nio.file.StandardOpenOption.APPEND)) {
+			for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+				Matcher started = ADDRESSES.matcher(line);
+				if (started.find()) {
+					this.frontPort = Integer.parseInt(started.group(1));
+				}
+				writer.write(line);
+				writer.newLine();
+			}
+		}
+	}
+
+	String name() {
+		return this.name;
+	}
+
+	/**
+	 * Returns the port for clients.
+	 * @return the port, or 0 while the process does not listen
+	 */
+	int frontPort() {
+		return this.frontPort;
+	}
+
+	void signal(String signal) {
+		Process target = this.process;
+		if (target != null && target.isAlive()) {
+			try {
+				new ProcessBuilder("kill", "-" + signal, Long.toString(target.pid())).start().waitFor();
+			}
+			catch (IOException | InterruptedException ex) {
+				throw new IllegalStateException(ex);
+			}
+		}
+	}
+
+	void end() {
+		this.ended = true;
+		if (this.process != null) {
+			this.process.destroyForcibly();
+		}
+	}
+
+}
--- /dev/null
+++ b/src/test/java/carawayswitch/soak/SoakTests.java
@@ -0,0 +1,28 @@
+package carawayswitch.soak;
+
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * A short run of the soak, and the seeds that ever failed, each with its cause.
+ */
+class SoakTests {
+
+	private static final int HOSTS = 3;
+
+	private static final int SECONDS = 8;
+
+	@ParameterizedTest(name = "seed {0}: {1}")
+	@CsvSource({ "1, first seed" })
+	@Timeout(100)
+	void promisesHoldUnderFaults(long seed, String cause) throws Exception {
+		Soak.Report report = Soak.run(seed, HOSTS, SECONDS);
+		assertThat(report.broken()).as(report.line() + ", logs in " + report.logs() + ", " + report.actions())
+			.isEmpty();
+		assertThat(report.served()).isGreaterThan(report.asked() / 4);
+	}
+
+}
