Caps: what is tolerated beyond rate and burst is handed out only while engines have room

Change: in a crowd the owner refuses such work at once, with the time at which it is within rate and burst again. Test: PoolOwnerTests, a flood of one organisation with full and with idle engines.

--- a/src/main/java/carawayswitch/gateway/PoolOwner.java
+++ b/src/main/java/carawayswitch/gateway/PoolOwner.java
@@ -139,11 +139,17 @@
 		return null;
 	}
 
+	// What a cap tolerates beyond its rate and burst is for times at which engines have
+	// room; in a crowd it would be taken from organisations that keep to theirs.
 	private long charge(PlaceRequest request, long now) {
 		SlidingCap cap = cap(request.organisation(), now);
 		if (cap == null || request.capUnits() == 0) {
 			return 0;
 		}
+		long beyond = cap.beyond(request.capUnits(), agreed(policy(request.organisation())), now);
+		if (beyond > 0 && scheduler(request.service()).crowded(request.urgency(), now)) {
+			return beyond;
+		}
 		long wait = cap.take(request.capUnits(), now);
 		if (wait == 0) {
 			this.charged.put(request.requestId(), request);
@@ -192,10 +198,14 @@
 				? this.routes.organisationNamed(organisation).map(OrganisationPolicy::tokenCap).orElse(null) : null;
 	}
 
+	// Units in a window without any tolerance.
+	private double agreed(OrganisationPolicy.Cap cap) {
+		return cap.perSecond() * this.bounds.capWindowMillis() / SECOND_MILLIS + cap.burst();
+	}
+
 	// Most units in a window, but for what hosts may use that do not reach an owner.
 	private double allowed(OrganisationPolicy.Cap cap) {
-		double window = cap.perSecond() * this.bounds.capWindowMillis() / SECOND_MILLIS;
-		return (window + cap.burst()) * (1 + this.bounds.capExcess()) + this.bounds.capSlack() * (1 - UNASKED_SHARE);
+		return agreed(cap) * (1 + this.bounds.capExcess()) + this.bounds.capSlack() * (1 - UNASKED_SHARE);
 	}
 
 	/**
--- a/src/main/java/carawayswitch/schedule/PoolScheduler.java
+++ b/src/main/java/carawayswitch/schedule/PoolScheduler.java
@@ -198,6 +198,16 @@
 		}
 	}
 
+	/**
+	 * Returns whether new work of an urgency would have to wait.
+	 * @param urgency the urgency
+	 * @param now time in milliseconds
+	 * @return true if no engine has room for it
+	 */
+	public boolean crowded(int urgency, long now) {
+		return !this.waiting.isEmpty() || capacity(now).freeSlots <= reserve(urgency, now);
+	}
+
 	private void admit(WaitingQueue to, PoolDemand demand, boolean first) {
 		if (first) {
 			to.addFirst(demand.work());
--- a/src/main/java/carawayswitch/schedule/SlidingCap.java
+++ b/src/main/java/carawayswitch/schedule/SlidingCap.java
@@ -112,6 +112,18 @@
 		}
 	}
 
+	/**
+	 * Returns whether units would exceed a part of what is allowed in a window.
+	 * @param units number of units
+	 * @param most units of that part
+	 * @param now time in milliseconds
+	 * @return 0 if they would not, or the time in milliseconds until they do not
+	 */
+	public long beyond(double units, double most, long now) {
+		double missing = this.used.sum(now) + this.assumed.sum(now) + Math.min(units, most) - most * this.share;
+		return (missing <= 0) ? 0 : waitFor(missing, now);
+	}
+
 	private double available(long now) {
 		return this.limit * this.share - this.used.sum(now) - this.assumed.sum(now);
 	}
--- a/src/test/java/carawayswitch/gateway/PoolOwnerTests.java
+++ b/src/test/java/carawayswitch/gateway/PoolOwnerTests.java
@@ -15,6 +15,7 @@
 import carawayswitch.message.OrganisationHistory;
 import carawayswitch.message.OrganisationUse;
 import carawayswitch.message.PlaceEnded;
+import carawayswitch.message.PlaceReply;
 import carawayswitch.message.PlaceRequest;
 import carawayswitch.route.EndpointEntry;
 import carawayswitch.route.EndpointTable;
@@ -140,6 +141,20 @@
 		assertThat(this.owner.charge("other", List.of(use), 20_000).get(0).exhaustedMillis()).isZero();
 	}
 
+	// A flood of one organisation, beyond its rate and burst.
+	@ParameterizedTest
+	@ValueSource(booleans = { true, false })
+	void organisationBeyondItsRateAndBurstYieldsOnlyWhileEnginesAreFull(boolean full) {
+		for (int i = 0; i < (full ? 8 : 2); i++) {
+			assertThat(this.owner.ask("host", request(0), 20_000)).isNull();
+		}
+		this.owner.decide(20_000);
+		OrganisationUse use = new OrganisationUse("yard", (long) (RATE * 9), (long) (RATE * 9));
+		this.owner.charge("other", List.of(use), 40_000);
+		PlaceReply reply = this.owner.ask("host", request(10_000), 40_000);
+		assertThat(reply != null && reply.overCap()).isEqualTo(full);
+	}
+
 	@Test
 	void refusalByTheCapNamesAWaitAndTakesNoPlace() {
 		spend(0, 1000);
