--- a/src/main/java/carawayswitch/gateway/BeliefFollower.java
+++ b/src/main/java/carawayswitch/gateway/BeliefFollower.java
@@ -25,6 +25,8 @@
 	 */
 	private static final long RETRY_MILLIS = 250;
 
+	private static final String STORE = "store";
+
 	private final NioReactor reactor;
 
 	private final BeliefSource<T> source;
@@ -40,6 +42,9 @@
 	/** What was read, for other hosts. */
 	private final RelayLog<T> relayLog;
 
+	/** The host that has passed the newest records on, or the store. */
+	private String readFrom = "";
+
 	private long nextOffset = -1;
 
 	private boolean failing;
@@ -101,9 +106,19 @@
 			this.log.write(LogEvent.STORE_REGAINED, "records", this.name, "outage_ms", outage);
 		}
 		apply(page, whole, sent, outage);
+		noteSource((page.relay() != null) ? page.relay().host() : STORE);
 		later((page.relay() != null) ? this.pace.relayedPauseMillis() : this.pace.pauseMillis());
 	}
 
+	private void noteSource(String source) {
+		if (!source.equals(this.readFrom)) {
+			this.readFrom = source;
+			this.log.write(LogEvent.READ_SOURCE_CHANGED, "records", this.name, "source", source, "age_ms",
+					this.confirmed.shownAge(Clocks.steadyMillis(), Clocks.wallMillis()), "next_offset",
+					this.nextOffset);
+		}
+	}
+
 	private void apply(BeliefSource.Page<T> page, boolean wholeRead, Confirmation sent, long outage) {
 		BeliefSource.Relay relay = page.relay();
 		Confirmation confirmation = (relay != null) ? sent.minus(relay.ageMillis()) : sent;
--- a/src/main/java/carawayswitch/gateway/BeliefRelay.java
+++ b/src/main/java/carawayswitch/gateway/BeliefRelay.java
@@ -133,7 +133,7 @@
 	}
 
 	// Asks one host after the other; fails if none answers.
-	private Promise<RelayReply> ask(List<String> hosts, RelayAsk ask) {
+	private Promise<Answer> ask(List<String> hosts, RelayAsk ask) {
 		String host = hosts.get(0);
 		SettablePromise<RelayReply> result = new SettablePromise<>();
 		this.asked.put(ask.sequence(), (reply) -> {
@@ -152,7 +152,7 @@
 		this.peers.send(host, ask, unanswered);
 		return result.then((reply) -> {
 			if (reply.current()) {
-				return Promise.of(reply);
+				return Promise.of(new Answer(host, reply));
 			}
 			return (hosts.size() > 1) ? ask(hosts.subList(1, hosts.size()), again(ask))
 					: Promise.ofException(new IllegalStateException("no other host can read the store"));
@@ -184,6 +184,16 @@
 
 	}
 
+	/**
+	 * An answer and who gave it. Immutable.
+	 *
+	 * @param host id of the host
+	 * @param reply the answer
+	 */
+	private record Answer(String host, RelayReply reply) {
+
+	}
+
 	/**
 	 * Records that other hosts pass on, or that the store is asked for where there are
 	 * none. Confined to the thread of the event loop.
@@ -211,7 +221,7 @@
 				return this.store.newest();
 			}
 			return ask(relays, new RelayAsk(BeliefRelay.this.sequence++, this.kind, -1, 0))
-				.then((reply) -> Promise.of(page(reply)), (failure) -> this.store.newest());
+				.then((answer) -> Promise.of(page(answer)), (failure) -> this.store.newest());
 		}
 
 		@Override
@@ -221,7 +231,7 @@
 				return this.store.after(offset, storeWaitMillis);
 			}
 			return ask(relays, new RelayAsk(BeliefRelay.this.sequence++, this.kind, offset, this.waitMillis))
-				.then((reply) -> Promise.of(page(reply)), (failure) -> this.store.after(offset, 0));
+				.then((answer) -> Promise.of(page(answer)), (failure) -> this.store.after(offset, 0));
 		}
 
 		@Override
@@ -234,7 +244,8 @@
 			return this.store.decode(values, nextOffset);
 		}
 
-		private Page<T> page(RelayReply reply) {
+		private Page<T> page(Answer answer) {
+			RelayReply reply = answer.reply();
 			Map<String, byte[]> values = new LinkedHashMap<>();
 			List<String> damaged = new ArrayList<>();
 			for (RelayRecord each : reply.records()) {
@@ -244,7 +255,8 @@
 			if (!damaged.isEmpty()) {
 				return Page.gone();
 			}
-			return decode(values, reply.nextOffset()).relayed(reply.ageMillis(), reply.whole());
+			return decode(values, reply.nextOffset())
+				.passedOnBy(new Relay(answer.host(), reply.ageMillis(), reply.whole()));
 		}
 
 	}
--- a/src/main/java/carawayswitch/gateway/BeliefSource.java
+++ b/src/main/java/carawayswitch/gateway/BeliefSource.java
@@ -66,8 +66,8 @@
 			return new Page<>(Map.of(), Map.of(), 0, true, null);
 		}
 
-		Page<T> relayed(long ageMillis, boolean whole) {
-			return new Page<>(this.entries, this.values, this.nextOffset, this.trimmed, new Relay(ageMillis, whole));
+		Page<T> passedOnBy(Relay by) {
+			return new Page<>(this.entries, this.values, this.nextOffset, this.trimmed, by);
 		}
 
 	}
@@ -75,11 +75,12 @@
 	/**
 	 * How another host has passed records on. Immutable.
 	 *
+	 * @param host id of that host
 	 * @param ageMillis time from the read of the store to the arrival of the ask in
 	 * milliseconds; negative if the store was read while the ask waited
 	 * @param whole true if names without a record do not exist
 	 */
-	record Relay(long ageMillis, boolean whole) {
+	record Relay(String host, long ageMillis, boolean whole) {
 
 	}
 
--- a/src/main/java/carawayswitch/gateway/PoolOwner.java
+++ b/src/main/java/carawayswitch/gateway/PoolOwner.java
@@ -130,31 +130,37 @@
 			return new PlaceReply(request.requestId(), engine, 0, false, "granted_before");
 		}
 		boolean known = this.serviceOf.containsKey(request.requestId());
-		long wait = known ? 0 : charge(request, now);
-		if (wait > 0) {
-			return new PlaceReply(request.requestId(), "", wait, true, "cap");
+		PlaceReply refusal = known ? null : charge(request, now);
+		if (refusal != null) {
+			return refusal;
 		}
 		this.serviceOf.put(request.requestId(), request.service());
 		scheduler(request.service()).offer(demand(host, request, now), now);
 		return null;
 	}
 
-	// What a cap tolerates beyond its rate and burst is for times at which engines have
-	// room; in a crowd it would be taken from organisations that keep to theirs.
-	private long charge(PlaceRequest request, long now) {
+	// Charges the cap, or refuses. What a cap tolerates beyond its rate and burst is for
+	// times at which engines have room; in a crowd it would be taken from organisations
+	// that keep to theirs.
+	private PlaceReply charge(PlaceRequest request, long now) {
 		SlidingCap cap = cap(request.organisation(), now);
 		if (cap == null || request.capUnits() == 0) {
-			return 0;
+			return null;
 		}
 		long beyond = cap.beyond(request.capUnits(), agreed(policy(request.organisation())), now);
 		if (beyond > 0 && scheduler(request.service()).crowded(request.urgency(), now)) {
-			return beyond;
+			return overCap(request, beyond, "beyond_rate_and_burst_in_crowd");
 		}
 		long wait = cap.take(request.capUnits(), now);
-		if (wait == 0) {
-			this.charged.put(request.requestId(), request);
+		if (wait > 0) {
+			return overCap(request, wait, "cap");
 		}
-		return wait;
+		this.charged.put(request.requestId(), request);
+		return null;
+	}
+
+	private static PlaceReply overCap(PlaceRequest request, long wait, String reason) {
+		return new PlaceReply(request.requestId(), "", wait, true, reason);
 	}
 
 	/**
--- a/src/main/java/carawayswitch/log/LogEvent.java
+++ b/src/main/java/carawayswitch/log/LogEvent.java
@@ -77,6 +77,9 @@
 	/** The store of the platform answers again. */
 	STORE_REGAINED(Level.INFO),
 
+	/** Records are read from another host or from the store itself. */
+	READ_SOURCE_CHANGED(Level.INFO),
+
 	/** A record of the store could not be decoded. */
 	RECORD_UNREADABLE(Level.WARN),
 
--- a/src/test/java/carawayswitch/soak/Soak.java
+++ b/src/test/java/carawayswitch/soak/Soak.java
@@ -33,7 +33,7 @@
  * java -cp ... carawayswitch.soak.Soak --seed 1 --runs 50 --seconds 20 --hosts 4
  * </pre>
  */
-final class Soak {
+public final class Soak {
 
 	private static final int ENGINES = 3;
 
@@ -315,24 +315,10 @@
 	}
 
 	/**
-	 * What a run has shown. Immutable.
-	 *
-	 * @param seed its seed
-	 * @param asked requests that were sent
-	 * @param served requests that were answered with success
-	 * @param actions what was done to the fleet
-	 * @param broken promises that were broken
-	 * @param logs folder with the logs of the gateways
+	 * Runs the soak with one seed after the other and prints what was broken.
+	 * @param arguments options with their values
+	 * @throws Exception if a run cannot be played
 	 */
-	record Report(long seed, int asked, int served, List<String> actions, List<String> broken, String logs) {
-
-		String line() {
-			return "seed " + this.seed + ": " + this.asked + " requests, " + this.served + " served, "
-					+ this.actions.size() + " faults, " + this.broken.size() + " promises broken";
-		}
-
-	}
-
 	public static void main(String[] arguments) throws Exception {
 		Map<String, Long> options = new HashMap<>(Map.of("--seed", 1L, "--runs", 1L, "--seconds", 20L, "--hosts", 4L));
 		for (int i = 0; i + 1 < arguments.length; i += 2) {
@@ -357,4 +343,23 @@
 		System.exit((failed > 0) ? 1 : 0);
 	}
 
+	/**
+	 * What a run has shown. Immutable.
+	 *
+	 * @param seed its seed
+	 * @param asked requests that were sent
+	 * @param served requests that were answered with success
+	 * @param actions what was done to the fleet
+	 * @param broken promises that were broken
+	 * @param logs folder with the logs of the gateways
+	 */
+	record Report(long seed, int asked, int served, List<String> actions, List<String> broken, String logs) {
+
+		String line() {
+			return "seed " + this.seed + ": " + this.asked + " requests, " + this.served + " served, "
+					+ this.actions.size() + " faults, " + this.broken.size() + " promises broken";
+		}
+
+	}
+
 }
