Stop: a stopping host takes no short request that may outlast it

A host that a long answer kept alive took a booking on a kept connection 7.34 s after SIGTERM, passed it on, and ended 60 ms later, while the endpoint worked on it for 85 ms. Long answers were refused late in a stop, short ones never. Change: 1.5 s before its end the host refuses short requests too, with 503 and before an endpoint sees them. Test: GatewayTests.stoppingHostTakesNothingThatMayOutlastIt, failed before the change.

--- a/src/main/java/carawayswitch/gateway/Exchange.java
+++ b/src/main/java/carawayswitch/gateway/Exchange.java
@@ -93,6 +93,12 @@
 	 */
 	private static final long STREAMS_UNTIL_MILLIS = 3000;
 
+	/**
+	 * Time before the end of a stopping process from which on short answers are refused
+	 * too, in milliseconds; nearly all take less.
+	 */
+	private static final long LAST_REQUEST_MILLIS = 1500;
+
 	/**
 	 * Time in milliseconds for which a request waits for a host that has just started to
 	 * learn its configuration; a store that answers needs less.
@@ -177,8 +183,7 @@
 		this.clientExpiresAt = (this.attempt.patienceMillis() >= 0) ? now + this.attempt.patienceMillis()
 				: Long.MAX_VALUE / 2;
 		this.expiresAt = Math.min(now + this.route.timeoutMillis(), this.clientExpiresAt);
-		if (this.context.stopping() && this.route.kind() == RequestKind.STREAMING
-				&& now - this.context.stoppingSince > STREAMS_UNTIL_MILLIS) {
+		if (this.context.stopping() && outlastsStop(now - this.context.stoppingSince)) {
 			refuse(ErrorKind.HOST_STOPPING, OTHER_HOST_RETRY_MILLIS, "stopping");
 			return;
 		}
@@ -187,6 +192,13 @@
 		place(now);
 	}
 
+	// Tells whether an answer may not be complete when the process ends.
+	private boolean outlastsStop(long sinceStop) {
+		long until = (this.route.kind() == RequestKind.STREAMING) ? STREAMS_UNTIL_MILLIS
+				: this.context.bounds().graceMillis() - GatewayHost.EXIT_MILLIS - LAST_REQUEST_MILLIS;
+		return sinceStop > until;
+	}
+
 	private static long retryMillis(ErrorKind kind) {
 		return kind.retryable() ? OTHER_HOST_RETRY_MILLIS : -1;
 	}
--- a/src/main/java/carawayswitch/gateway/GatewayHost.java
+++ b/src/main/java/carawayswitch/gateway/GatewayHost.java
@@ -97,7 +97,7 @@
 	private static final long BALANCER_MILLIS = 2600;
 
 	/** Time in milliseconds that is kept for the end of the process. */
-	private static final long EXIT_MILLIS = 600;
+	static final long EXIT_MILLIS = 600;
 
 	private static final long STOP_CHECK_MILLIS = 20;
 
--- a/src/test/java/carawayswitch/gateway/GatewayTests.java
+++ b/src/test/java/carawayswitch/gateway/GatewayTests.java
@@ -307,6 +307,25 @@
 		stopped.get(LIMIT_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
+	@Test
+	void stoppingHostTakesNothingThatMayOutlastIt() throws Exception {
+		this.fleet.engines().forEach((engine) -> engine.eventMillis(600));
+		CompletableFuture<HttpResponse<String>> running = this.client
+			.sendAsync(request(0, "/report/1", PlatformFleet.KEY, 4000), HttpResponse.BodyHandlers.ofString());
+		await(() -> engineRuns() == 1);
+		CompletableFuture<Void> stopped = this.fleet.host(0).stop();
+		await(() -> {
+			try {
+				return ask(0, "/book/1").statusCode() == 503;
+			}
+			catch (Exception ex) {
+				throw new IllegalStateException(ex);
+			}
+		});
+		assertThat(stopped.isDone()).isFalse();
+		assertThat(running.get(LIMIT_MILLIS, TimeUnit.MILLISECONDS).body()).isEqualTo(stream());
+	}
+
 	@Test
 	void twoHostsServeMetricsOnPortsOfTheSystemsChoiceOnOneMachine() throws Exception {
 		GatewayHost one = this.fleet.addHost(0);
