Clean-up of this change: one piece for each job, no look at all that waits

RiskWatchTests (jqwik) compares the watch with a look at everything; its first form found that work queued anew under its id was mistaken for its former self.

--- a/src/main/java/carawayswitch/gateway/BeliefRelay.java
+++ b/src/main/java/carawayswitch/gateway/BeliefRelay.java
@@ -129,7 +129,7 @@
 		RelayLog<?> log = this.logs.get(ask.kind());
 		this.peers.reply(entry.peer(),
 				(log != null) ? log.answer(ask.sequence(), ask.fromOffset(), entry.arrived(), Clocks.reading())
-						: new RelayReply(ask.sequence(), false, 0, 0, false, List.of()));
+						: RelayLog.notCurrent(ask.sequence()));
 	}
 
 	// Asks one host after the other; fails if none answers.
@@ -145,7 +145,7 @@
 		Runnable unanswered = () -> {
 			if (this.asked.remove(ask.sequence()) != null) {
 				avoid(host);
-				result.trySet(new RelayReply(ask.sequence(), false, 0, 0, false, List.of()));
+				result.trySet(RelayLog.notCurrent(ask.sequence()));
 			}
 		};
 		this.reactor.delayBackground(ask.waitMillis() + ANSWER_MILLIS, unanswered::run);
--- a/src/main/java/carawayswitch/gateway/Exchange.java
+++ b/src/main/java/carawayswitch/gateway/Exchange.java
@@ -131,8 +131,6 @@
 
 	private long expiresAt;
 
-	private long clientExpiresAt;
-
 	private ScheduledRunnable expiry;
 
 	private Placement placement;
@@ -180,9 +178,8 @@
 		this.urgency = Math.max(0, Tier.HIGHEST_URGENCY - admitted.get().priority());
 		this.service = this.route.service(this.attempt.id().hashCode());
 		this.policy = table.service(this.service).orElse(null);
-		this.clientExpiresAt = (this.attempt.patienceMillis() >= 0) ? now + this.attempt.patienceMillis()
-				: Long.MAX_VALUE / 2;
-		this.expiresAt = Math.min(now + this.route.timeoutMillis(), this.clientExpiresAt);
+		long patience = (this.attempt.patienceMillis() >= 0) ? this.attempt.patienceMillis() : Long.MAX_VALUE;
+		this.expiresAt = now + Math.min(this.route.timeoutMillis(), patience);
 		if (this.context.stopping() && outlastsStop(now - this.context.stoppingSince)) {
 			refuse(ErrorKind.HOST_STOPPING, OTHER_HOST_RETRY_MILLIS, "stopping");
 			return;
@@ -303,7 +300,7 @@
 		this.current = new Attempt(endpoint, now);
 		this.tried.add(endpointId);
 		this.sends++;
-		long left = Math.min(this.expiresAt, this.clientExpiresAt) - now;
+		long left = this.expiresAt - now;
 		WireFormat.Forwarding forwarding = new WireFormat.Forwarding(
 				(this.organisation != null) ? this.organisation.name() : null, endpointId, Math.max(1, left),
 				this.events.lastId());
@@ -423,10 +420,6 @@
 		this.onOver.run();
 	}
 
-	boolean over() {
-		return this.over;
-	}
-
 	/**
 	 * One sending of the request to an endpoint. Invariant: it ends once. Confined to the
 	 * thread of the event loop.
--- a/src/main/java/carawayswitch/gateway/GatewayPeers.java
+++ b/src/main/java/carawayswitch/gateway/GatewayPeers.java
@@ -116,7 +116,7 @@
 	}
 
 	private void onBeat(GatewayBeat beat, long now) {
-		List<String> before = this.view.targets(now);
+		List<String> before = beat.reply() ? this.view.targets(now) : List.of();
 		if (this.view.heard(beat, now)) {
 			this.listener.onViewChanged(List.of(beat.host()));
 		}
--- a/src/main/java/carawayswitch/gateway/PeerView.java
+++ b/src/main/java/carawayswitch/gateway/PeerView.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 
 import org.apache.commons.codec.digest.MurmurHash3;
 
@@ -78,6 +79,7 @@
 
 	private Peer self;
 
+	/** All known hosts by rank, this one included. */
 	private List<Peer> ranked = List.of();
 
 	private TreeMap<String, Peer> live = new TreeMap<>();
@@ -98,6 +100,7 @@
 	void self(HostRecord record) {
 		this.self = new Peer(record);
 		this.live.replace(record.host(), this.self);
+		rank();
 	}
 
 	HostRecord self() {
@@ -147,7 +150,7 @@
 	}
 
 	private void rank() {
-		this.ranked = this.peers.values().stream().sorted(BY_RANK).toList();
+		this.ranked = Stream.concat(Stream.of(this.self), this.peers.values().stream()).sorted(BY_RANK).toList();
 	}
 
 	/**
@@ -217,7 +220,7 @@
 			if (enough && !small) {
 				break;
 			}
-			if (peer.alive(now) || peer.testable(now)) {
+			if (peer != this.self && (peer.alive(now) || peer.testable(now))) {
 				targets.add(peer.record.host());
 				met += (peer.alive(now) && !peer.leaving) ? 1 : 0;
 			}
@@ -231,13 +234,8 @@
 	 * @return records of the hosts
 	 */
 	List<HostRecord> leaders(long now) {
-		List<Peer> known = new ArrayList<>(this.ranked);
-		if (!this.leaving) {
-			known.add(this.self);
-			known.sort(BY_RANK);
-		}
-		return known.stream()
-			.filter((peer) -> peer == this.self || (peer.alive(now) && !peer.leaving))
+		return this.ranked.stream()
+			.filter((peer) -> (peer == this.self) ? !this.leaving : peer.alive(now) && !peer.leaving)
 			.limit(LEADERS)
 			.map((peer) -> peer.record)
 			.toList();
@@ -255,8 +253,9 @@
 			return List.of();
 		}
 		List<String> relays = new ArrayList<>(this.ranked.stream()
+			.takeWhile((peer) -> peer != this.self)
 			.filter((peer) -> peer.record.zone().equals(this.self.record.zone()) && !peer.leaving
-					&& !avoided.contains(peer.record.host()) && BY_RANK.compare(peer, this.self) < 0)
+					&& !avoided.contains(peer.record.host()))
 			.limit(RELAYS)
 			.map((peer) -> peer.record.host())
 			.toList());
--- a/src/main/java/carawayswitch/gateway/Placements.java
+++ b/src/main/java/carawayswitch/gateway/Placements.java
@@ -83,10 +83,6 @@
 
 	private final Map<String, Placement> placements = new LinkedHashMap<>();
 
-	private RouteTable routes;
-
-	private EndpointTable endpoints = EndpointTable.EMPTY;
-
 	private String owner = "";
 
 	private long ownerSince = this.startedAt;
@@ -142,10 +138,8 @@
 		}
 	}
 
-	void believe(RouteTable newRoutes, EndpointTable newEndpoints) {
-		this.routes = newRoutes;
-		this.endpoints = newEndpoints;
-		this.own.believe(newRoutes, newEndpoints, Clocks.steadyMillis());
+	void believe(RouteTable routes, EndpointTable endpoints) {
+		this.own.believe(routes, endpoints, Clocks.steadyMillis());
 		decideSoon();
 	}
 
@@ -377,7 +371,6 @@
 			if (ownsPools()) {
 				this.ownerSince = now;
 				this.own.begin(now);
-				this.own.believe(this.routes, this.endpoints, now);
 			}
 			else {
 				this.handedOverAt = before.equals(this.peers.self()) ? now : this.handedOverAt;
--- a/src/main/java/carawayswitch/gateway/PoolOwner.java
+++ b/src/main/java/carawayswitch/gateway/PoolOwner.java
@@ -324,6 +324,9 @@
 		this.beganAt = now;
 		this.caps.clear();
 		this.chargedTotals.clear();
+		if (this.routes != null) {
+			this.routes.organisations().forEach((organisation) -> cap(organisation.name(), now));
+		}
 	}
 
 	/**
--- a/src/main/java/carawayswitch/gateway/RelayLog.java
+++ b/src/main/java/carawayswitch/gateway/RelayLog.java
@@ -82,7 +82,7 @@
 			changed |= put(entry.getKey(), entry.getValue(), page.values().get(entry.getKey()));
 		}
 		if (this.removed > MAX_REMOVED) {
-			this.records.values().removeIf((kept) -> kept.meaning().isEmpty());
+			this.records.values().removeIf((kept) -> kept.meaning.isEmpty());
 			this.removed = 0;
 			this.completeFrom = this.nextOffset;
 		}
@@ -93,11 +93,11 @@
 
 	private boolean put(String name, Optional<T> meaning, byte[] value) {
 		Kept<T> before = this.records.get(name);
-		if (before != null && before.meaning().equals(meaning)) {
+		if (before != null && before.meaning.equals(meaning)) {
 			return false;
 		}
 		this.removed += meaning.isEmpty() ? 1 : 0;
-		this.records.put(name, new Kept<>(meaning, value, this.nextOffset));
+		this.records.put(name, new Kept<>(name, meaning, value, this.nextOffset));
 		return true;
 	}
 
@@ -108,7 +108,7 @@
 	 */
 	boolean news(long fromOffset) {
 		return fromOffset < this.completeFrom
-				|| this.records.values().stream().anyMatch((kept) -> kept.offset() > fromOffset);
+				|| this.records.values().stream().anyMatch((kept) -> kept.offset > fromOffset);
 	}
 
 	/**
@@ -123,28 +123,62 @@
 		long age = this.confirmation.age(arrived.steadyMillis(), arrived.wallMillis());
 		boolean known = this.confirmation.age(now.steadyMillis(), now.wallMillis()) != Confirmation.UNKNOWN_AGE;
 		if (!this.current || this.nextOffset < 0 || !known || age == Confirmation.UNKNOWN_AGE) {
-			return new RelayReply(sequence, false, 0, 0, false, List.of());
+			return notCurrent(sequence);
 		}
 		boolean whole = fromOffset < this.completeFrom;
 		List<RelayRecord> news = new ArrayList<>();
-		this.records.forEach((name, kept) -> {
-			boolean wanted = whole ? kept.meaning().isPresent() : kept.offset() > fromOffset;
+		this.records.values().forEach((kept) -> {
+			boolean wanted = whole ? kept.meaning.isPresent() : kept.offset > fromOffset;
 			if (wanted) {
-				news.add(Deflation.record(name, kept.meaning().isPresent() ? kept.value() : new byte[0]));
+				news.add(kept.packed());
 			}
 		});
 		return new RelayReply(sequence, true, this.nextOffset, age, whole, news);
 	}
 
 	/**
-	 * A record that can be passed on. Immutable.
+	 * Returns the answer of a host that cannot vouch for its records.
+	 * @param sequence number of the ask
+	 * @return the answer
+	 */
+	static RelayReply notCurrent(long sequence) {
+		return new RelayReply(sequence, false, 0, 0, false, List.of());
+	}
+
+	/**
+	 * A record that can be passed on. Confined to its log.
 	 *
 	 * @param <T> what a record says
-	 * @param meaning what it says; empty if it was removed or cannot be read
-	 * @param value the record as the store holds it
-	 * @param offset offset of the page that brought this meaning
 	 */
-	private record Kept<T>(Optional<T> meaning, byte[] value, long offset) {
+	private static final class Kept<T> {
+
+		private final String name;
+
+		/** What the record says; empty if it was removed or cannot be read. */
+		private final Optional<T> meaning;
+
+		/** The record as the store holds it. */
+		private final byte[] value;
+
+		/** Offset of the page that brought this meaning. */
+		private final long offset;
+
+		/** The record for other hosts, made when the first of them asks. */
+		private RelayRecord packed;
+
+		Kept(String name, Optional<T> meaning, byte[] value, long offset) {
+			this.name = name;
+			this.meaning = meaning;
+			this.value = value;
+			this.offset = offset;
+		}
+
+		RelayRecord packed() {
+			if (this.packed == null) {
+				this.packed = Deflation.record(this.name, this.meaning.isPresent() ? this.value : new byte[0]);
+			}
+			return this.packed;
+		}
 
 	}
 
--- a/src/main/java/carawayswitch/schedule/EndpointScheduler.java
+++ b/src/main/java/carawayswitch/schedule/EndpointScheduler.java
@@ -61,12 +61,6 @@
 	/** Share of its time that protected work must have left at most. */
 	static final double PROTECTED_SHARE = 0.8;
 
-	/**
-	 * Part of the time of protected work that may pass in a queue before less urgent work
-	 * yields.
-	 */
-	static final double RISK_SHARE = 0.5;
-
 	/** Time in milliseconds for which work yields after it was told to. */
 	static final long YIELD_MILLIS = 1500;
 
@@ -101,6 +95,8 @@
 
 	private long kvPromised;
 
+	private final RiskWatch risk = new RiskWatch();
+
 	/** Urgency below which work yields, since protected work is at risk here, or 0. */
 	private int ownYield;
 
@@ -140,7 +136,7 @@
 			return Offer.refused(ErrorKind.NO_ENDPOINT, 0);
 		}
 		double wait = waitMillis(work);
-		if (yields(work, now)) {
+		if (work.urgency() < yieldBelow(now)) {
 			return Offer.refused(ErrorKind.OVERLOADED, (long) wait);
 		}
 		boolean late = now + wait + neededMillis(work, ADMISSION_MARGIN) > work.deadlineMillis();
@@ -156,13 +152,10 @@
 			return Offer.refused(ErrorKind.OVERLOADED, (long) wait);
 		}
 		this.queue.add(work);
+		this.risk.queued(work);
 		return Offer.accepted(dropped);
 	}
 
-	private boolean yields(Work work, long now) {
-		return work.urgency() < yieldBelow(now);
-	}
-
 	private int yieldBelow(long now) {
 		int highest = this.ownYield;
 		for (Told each : this.told.values()) {
@@ -188,15 +181,8 @@
 		}
 	}
 
-	// Protected work is at risk when much of its time has passed while it waits.
-	private void lookForRisk(long now) {
-		this.ownYield = 0;
-		for (Work work : queued()) {
-			double passed = (double) (now - work.arrivalMillis()) / (work.deadlineMillis() - work.arrivalMillis());
-			if (work.pressure() == PressurePolicy.PROTECT && passed > RISK_SHARE) {
-				this.ownYield = Math.max(this.ownYield, work.urgency());
-			}
-		}
+	private boolean waits(Work work) {
+		return this.queue.holds(work) || this.late.get(work.id()) == work;
 	}
 
 	private boolean mayShed(Work work) {
@@ -389,6 +375,7 @@
 		if (stopped != null) {
 			this.kvPromised -= stopped.work.kvTokens();
 			this.queue.addFirst(remaining);
+			this.risk.queued(remaining);
 			this.limit.adjust(this.running.size(), now);
 		}
 	}
@@ -463,14 +450,15 @@
 				head = this.queue.peek(urgency);
 			}
 		}
-		lookForRisk(now);
+		this.ownYield = this.risk.highestUrgency(this::waits, now);
+		int below = yieldBelow(now);
 		List<Work> taken = new ArrayList<>();
-		if (yieldBelow(now) > 0) {
-			this.queue.all().stream().filter((work) -> yields(work, now)).forEach(taken::add);
+		if (this.queue.lowestUrgency() >= 0 && this.queue.lowestUrgency() < below) {
+			this.queue.all().stream().filter((work) -> work.urgency() < below).forEach(taken::add);
 		}
 		this.late.values()
 			.stream()
-			.filter((work) -> now >= work.deadlineMillis() || mayShed(work) || yields(work, now))
+			.filter((work) -> now >= work.deadlineMillis() || mayShed(work) || work.urgency() < below)
 			.forEach(taken::add);
 		taken.forEach((work) -> cancelQueued(work.id()));
 		return taken;
--- a/src/main/java/carawayswitch/schedule/FairQueue.java
+++ b/src/main/java/carawayswitch/schedule/FairQueue.java
@@ -84,6 +84,15 @@
 		return this.byId.containsKey(id);
 	}
 
+	/**
+	 * Returns whether this very work is queued, and not other work of the same id.
+	 * @param work the work
+	 * @return true if it is queued
+	 */
+	boolean holds(Work work) {
+		return this.byId.get(work.id()) == work;
+	}
+
 	Work remove(String id) {
 		Work work = this.byId.remove(id);
 		if (work == null) {
--- a/src/main/java/carawayswitch/transport/Frames.java
+++ b/src/main/java/carawayswitch/transport/Frames.java
@@ -1,11 +1,13 @@
 package carawayswitch.transport;
 
+import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 
 import io.activej.bytebuf.ByteBuf;
 import io.activej.bytebuf.ByteBufPool;
 import io.activej.common.exception.MalformedDataException;
 import io.activej.csp.binary.decoder.ByteBufsDecoder;
+import io.vavr.control.Option;
 
 import carawayswitch.message.Message;
 import carawayswitch.message.MessageCodec;
@@ -34,6 +36,20 @@
 		return frame;
 	}
 
+	/**
+	 * Takes in a frame of another host.
+	 * @param frame the frame
+	 * @param traffic counts it
+	 * @param onMalformed receives the reason if the frame holds no message
+	 * @return the message; nothing if it is malformed or of an unknown type
+	 */
+	static Option<Message> receive(ByteBuf frame, TrafficCounter traffic, Consumer<String> onMalformed) {
+		traffic.received(frame.readRemaining());
+		return MessageCodec.decode(frame.asArray())
+			.onFailure((failure) -> onMalformed.accept("malformed message: " + failure.getMessage()))
+			.getOrElse(Option.none());
+	}
+
 	/**
 	 * Creates a decoder. A length beyond the limit fails at once, so that bytes of
 	 * another protocol are not waited for.
--- a/src/main/java/carawayswitch/transport/IncomingLink.java
+++ b/src/main/java/carawayswitch/transport/IncomingLink.java
@@ -7,13 +7,10 @@
 import io.activej.csp.supplier.ChannelSuppliers;
 import io.activej.net.socket.tcp.ITcpSocket;
 import io.activej.reactor.nio.NioReactor;
-import io.vavr.control.Option;
-import io.vavr.control.Try;
 
 import carawayswitch.log.LogEvent;
 import carawayswitch.message.Hello;
 import carawayswitch.message.Message;
-import carawayswitch.message.MessageCodec;
 import carawayswitch.message.Ping;
 import carawayswitch.message.Pong;
 import carawayswitch.message.Proof;
@@ -75,13 +72,7 @@
 			return;
 		}
 		this.heardAt = this.reactor.currentTimeMillis();
-		this.traffic.received(frame.readRemaining());
-		Try<Option<Message>> decoded = MessageCodec.decode(frame.asArray());
-		if (decoded.isFailure()) {
-			close("malformed message: " + decoded.getCause().getMessage());
-			return;
-		}
-		decoded.get().forEach(this::onMessage);
+		Frames.receive(frame, this.traffic, this::close).forEach(this::onMessage);
 	}
 
 	private void onMessage(Message message) {
--- a/src/test/java/carawayswitch/gateway/GatewayTests.java
+++ b/src/test/java/carawayswitch/gateway/GatewayTests.java
@@ -20,6 +20,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import carawayswitch.Await;
 import carawayswitch.standin.EndpointStandIn;
 import carawayswitch.standin.PlatformFleet;
 import carawayswitch.standin.PlatformStandIn;
@@ -53,11 +54,7 @@
 	}
 
 	private static void await(BooleanSupplier condition) {
-		long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LIMIT_MILLIS);
-		while (!condition.getAsBoolean()) {
-			assertThat(System.nanoTime()).as("the condition holds in time").isLessThan(deadline);
-			java.util.concurrent.locks.LockSupport.parkNanos(5_000_000);
-		}
+		Await.until(Duration.ofMillis(LIMIT_MILLIS), condition);
 	}
 
 	private int status(InetSocketAddress address) {
@@ -102,10 +99,20 @@
 		return ask(host, path, PlatformFleet.KEY);
 	}
 
-	private HttpResponse<String> ask(int host, String path, String key) throws Exception {
+	private HttpResponse<String> ask(int host, String path, String key) throws IOException, InterruptedException {
 		return this.client.send(request(host, path, key, 3000), HttpResponse.BodyHandlers.ofString());
 	}
 
+	// For conditions, which cannot throw.
+	private int askStatus(int host, String path, String key) {
+		try {
+			return ask(host, path, key).statusCode();
+		}
+		catch (IOException | InterruptedException ex) {
+			throw new IllegalStateException(ex);
+		}
+	}
+
 	private static String stream() {
 		StringBuilder text = new StringBuilder();
 		for (int i = 1; i <= EndpointStandIn.EVENTS; i++) {
@@ -233,27 +240,14 @@
 		EndpointStandIn other = this.fleet.plain();
 		this.fleet.store().put("keyed.servers", "ledger-1", other.entry("ready"));
 		this.fleet.store().put("keyed.servers", "ledger-0", new byte[0]);
-		await(() -> {
-			try {
-				return ask(0, "/book/1").statusCode() == 503;
-			}
-			catch (Exception ex) {
-				throw new IllegalStateException(ex);
-			}
-		});
+		await(() -> askStatus(0, "/book/1", PlatformFleet.KEY) == 503);
 	}
 
 	@Test
 	void removedKeyIsRefusedAndTheNewOneHolds() throws Exception {
 		this.fleet.configure("new-key");
-		await(() -> {
-			try {
-				return ask(0, "/book/1").statusCode() == 401 && ask(1, "/book/1").statusCode() == 401;
-			}
-			catch (Exception ex) {
-				throw new IllegalStateException(ex);
-			}
-		});
+		await(() -> askStatus(0, "/book/1", PlatformFleet.KEY) == 401
+				&& askStatus(1, "/book/1", PlatformFleet.KEY) == 401);
 		assertThat(ask(0, "/book/1", "new-key").statusCode()).isEqualTo(200);
 	}
 
@@ -261,14 +255,7 @@
 	@EnumSource(value = PlatformStandIn.Fault.class, names = { "SILENT", "BUSY", "RESET" })
 	void hostThatCannotConfirmItsConfigurationServesOnlyWithoutKeys(PlatformStandIn.Fault fault) throws Exception {
 		this.fleet.store().fault(fault);
-		await(() -> {
-			try {
-				return ask(0, "/book/1").statusCode() == 503;
-			}
-			catch (Exception ex) {
-				throw new IllegalStateException(ex);
-			}
-		});
+		await(() -> askStatus(0, "/book/1", PlatformFleet.KEY) == 503);
 		assertThat(ask(0, "/open/1").statusCode()).isEqualTo(200);
 		assertThat(ask(0, "/none/1").statusCode()).isIn(404, 503);
 		await(() -> status(this.fleet.host(0).readinessAddress()) == 503);
@@ -282,14 +269,7 @@
 		this.fleet.configure("second-key");
 		this.fleet.store().dropHistory("keyed.op");
 		this.fleet.store().dropHistory("keyed.servers");
-		await(() -> {
-			try {
-				return ask(0, "/report/1", "second-key").statusCode() == 200;
-			}
-			catch (Exception ex) {
-				throw new IllegalStateException(ex);
-			}
-		});
+		await(() -> askStatus(0, "/report/1", "second-key") == 200);
 	}
 
 	@Test
@@ -314,14 +294,7 @@
 			.sendAsync(request(0, "/report/1", PlatformFleet.KEY, 4000), HttpResponse.BodyHandlers.ofString());
 		await(() -> engineRuns() == 1);
 		CompletableFuture<Void> stopped = this.fleet.host(0).stop();
-		await(() -> {
-			try {
-				return ask(0, "/book/1").statusCode() == 503;
-			}
-			catch (Exception ex) {
-				throw new IllegalStateException(ex);
-			}
-		});
+		await(() -> askStatus(0, "/book/1", PlatformFleet.KEY) == 503);
 		assertThat(stopped.isDone()).isFalse();
 		assertThat(running.get(LIMIT_MILLIS, TimeUnit.MILLISECONDS).body()).isEqualTo(stream());
 	}
--- a/src/test/java/carawayswitch/gateway/RelayTests.java
+++ b/src/test/java/carawayswitch/gateway/RelayTests.java
@@ -4,9 +4,8 @@
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.time.Duration;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import java.util.stream.IntStream;
 
@@ -14,11 +13,10 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
+import carawayswitch.Await;
 import carawayswitch.standin.PlatformFleet;
 import carawayswitch.standin.PlatformStandIn;
 
-import static org.assertj.core.api.Assertions.assertThat;
-
 /**
  * Tests of a fleet that is large enough for hosts to read the store for each other, on
  * real sockets.
@@ -47,11 +45,7 @@
 	}
 
 	private static void await(BooleanSupplier condition) {
-		long deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LIMIT_MILLIS);
-		while (!condition.getAsBoolean()) {
-			assertThat(System.nanoTime()).as("the condition holds in time").isLessThan(deadline);
-			LockSupport.parkNanos(5_000_000);
-		}
+		Await.until(Duration.ofMillis(LIMIT_MILLIS), condition);
 	}
 
 	private int status(int host, String key) {
--- a/src/test/java/carawayswitch/host/FleetClient.java
+++ b/src/test/java/carawayswitch/host/FleetClient.java
@@ -12,12 +12,11 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 
+import carawayswitch.Await;
 import carawayswitch.http.Json;
 import carawayswitch.standin.ExampleFleets;
 import carawayswitch.standin.TrialFleet;
 
-import static org.assertj.core.api.Assertions.assertThat;
-
 /**
  * Calls the hosts of a trial fleet.
  */
@@ -97,16 +96,7 @@
 	}
 
 	static void await(BooleanSupplier condition) {
-		long deadline = System.nanoTime() + Duration.ofSeconds(20).toNanos();
-		while (!condition.getAsBoolean()) {
-			assertThat(System.nanoTime()).as("waited for 20 s").isLessThan(deadline);
-			try {
-				Thread.sleep(20);
-			}
-			catch (InterruptedException ex) {
-				throw new IllegalStateException(ex);
-			}
-		}
+		Await.until(Duration.ofSeconds(20), condition);
 	}
 
 }
--- /dev/null
+++ b/src/test/java/carawayswitch/schedule/RiskWatchTests.java
@@ -0,0 +1,55 @@
+package carawayswitch.schedule;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+import carawayswitch.config.PressurePolicy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Tests that the watch tells what a look at all waiting work would tell.
+ */
+class RiskWatchTests {
+
+	@Property(tries = 300)
+	void highestUrgencyIsThatOfAllWaitingWork(
+			@ForAll @Size(max = 60) List<@IntRange(min = 0, max = 999) Integer> steps) {
+		RiskWatch watch = new RiskWatch();
+		List<Work> queued = new ArrayList<>();
+		Set<String> waiting = new HashSet<>();
+		long now = 0;
+		for (int step : steps) {
+			now += step % 40;
+			Work work = new Work("w" + step % 30, 1 + step % 4, "kind", 1, "organisation", 1,
+					(step % 5 == 0) ? PressurePolicy.WAIT : PressurePolicy.PROTECT, 1, 0, 0, 1, 0, now, now + 1 + step);
+			if (waiting.remove(work.id())) {
+				queued.removeIf((each) -> each.id().equals(work.id()));
+			}
+			else {
+				watch.queued(work);
+				queued.add(work);
+				waiting.add(work.id());
+			}
+			assertThat(watch.highestUrgency(queued::contains, now)).isEqualTo(highest(queued, now));
+		}
+	}
+
+	private static int highest(List<Work> queued, long now) {
+		return queued.stream()
+			.filter((work) -> work.pressure() == PressurePolicy.PROTECT)
+			.filter((work) -> now - work.arrivalMillis() > RiskWatch.RISK_SHARE
+					* (work.deadlineMillis() - work.arrivalMillis()))
+			.mapToInt(Work::urgency)
+			.max()
+			.orElse(0);
+	}
+
+}
--- a/src/test/java/carawayswitch/soak/GatewayProcess.java
+++ b/src/test/java/carawayswitch/soak/GatewayProcess.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -92,8 +93,7 @@
 
 	private void readLog(Process running) throws IOException {
 		try (BufferedReader reader = new BufferedReader(new InputStreamReader(running.getInputStream()));
-				var writer = Files.newBufferedWriter(this.log, java.nio.file.StandardOpenOption.CREATE,
-						java.nio.file.StandardOpenOption.APPEND)) {
+				var writer = Files.newBufferedWriter(this.log, StandardOpenOption.CREATE, StandardOpenOption.APPEND)) {
 			for (String line = reader.readLine(); line != null; line = reader.readLine()) {
 				Matcher started = ADDRESSES.matcher(line);
 				if (started.find()) {
