Gateway: an attempt at an endpoint is bounded in silence and in bytes

A stream that was resumed later than 1.4 s after its arrival asked for a place with a wait limit that had passed already, and was always rejected: found by the new test with silent engines.

Change: StreamProgress supervises each attempt from its dispatch to its end. A stalled stream is reported to the owner of the pool, which suspects an engine once all its streams are stalled; a resumable stream goes on elsewhere after half of the time that its client waits; its place request counts from the last event, goes before new work and is not rejected in overload. A silent stream that must not be repeated is left to its engine: the users' rules say that silence is no reason to end an answer sooner, and the client ends it. A place that is granted after the client must have left is not used.

--- a/src/main/java/carawayswitch/gateway/EventStreamSplitter.java
+++ b/src/main/java/carawayswitch/gateway/EventStreamSplitter.java
@@ -73,6 +73,10 @@
 		return this.incompleteEvent.size() > 0;
 	}
 
+	int incompleteBytes() {
+		return this.incompleteEvent.size();
+	}
+
 	/**
 	 * Returns the id of the last complete event that has one.
 	 * @return the id, or null if there is none
--- a/src/main/java/carawayswitch/gateway/Exchange.java
+++ b/src/main/java/carawayswitch/gateway/Exchange.java
@@ -84,26 +84,9 @@
 	 */
 	private static final long NO_ENDPOINT_RETRY_MILLIS = 500;
 
-	/**
-	 * Clients give up a stream after this many latency objectives, after
-	 * {@link #CLIENT_WAIT_GAPS} times the longest allowed gap between events, or after
-	 * {@link #MIN_CLIENT_WAIT_MILLIS}, whichever is longest.
-	 */
-	private static final int CLIENT_WAIT_OBJECTIVES = 4;
-
-	private static final int CLIENT_WAIT_GAPS = 8;
-
-	private static final long MIN_CLIENT_WAIT_MILLIS = 2000;
-
 	/** Share of the estimated client wait that a request may wait for a place. */
 	private static final double PLACE_WAIT_SHARE = 0.7;
 
-	/**
-	 * A repeatable request is retried at another endpoint if no response head arrives
-	 * within two latency objectives plus this margin in milliseconds.
-	 */
-	private static final long HEAD_TIMEOUT_MARGIN_MILLIS = 1000;
-
 	/**
 	 * Time in milliseconds after the start of a graceful shutdown during which new
 	 * streaming requests are still accepted.
@@ -166,6 +149,8 @@
 
 	private boolean finished;
 
+	private long lastEventSentAt;
+
 	private final EventStreamSplitter events = new EventStreamSplitter();
 
 	Exchange(GatewayContext context, ServerConnection client, ReceivedRequest request, Runnable onFinished) {
@@ -177,12 +162,11 @@
 	}
 
 	void start(long now) {
+		if (this.finished) {
+			return;
+		}
 		if (!this.context.stateLoaded() && now - this.request.arrivedAt() < STARTUP_WAIT_MILLIS) {
-			this.context.reactor.delay(STARTUP_CHECK_MILLIS, () -> {
-				if (!this.finished) {
-					start(Clocks.monotonicMillis());
-				}
-			});
+			this.context.reactor.delay(STARTUP_CHECK_MILLIS, () -> start(Clocks.monotonicMillis()));
 			return;
 		}
 		RouteTable routeTable = this.context.routes.get();
@@ -260,16 +244,16 @@
 		int expectedOutputTokens = (this.metadata.expectedOutputTokens() > 0) ? this.metadata.expectedOutputTokens()
 				: this.context.lengthEstimator.expectedTokens(this.route.name(), organisationName(),
 						this.metadata.maxOutputTokens());
-		long elapsed = now - this.request.arrivedAt();
-		long clientWait = Math.max(MIN_CLIENT_WAIT_MILLIS, Math
-			.max(CLIENT_WAIT_OBJECTIVES * this.route.objectiveMillis(), CLIENT_WAIT_GAPS * this.route.maxGapMillis()));
-		long placeWait = Math.min((long) (clientWait * PLACE_WAIT_SHARE) - elapsed, this.deadlineAt - now);
+		long elapsed = now - this.lastEventAt();
+		long placeWait = Math.min((long) (StreamProgress.clientWaitMillis(this.route) * PLACE_WAIT_SHARE) - elapsed,
+				this.deadlineAt - now);
+		long objective = this.headSent ? this.route.maxGapMillis() : this.route.objectiveMillis();
 		int units = (this.dispatches > 0) ? 0 : capUnits();
 		PlaceRequest placeRequest = new PlaceRequest(placementId(), this.service, this.urgency, this.route.name(),
 				organisationName(), this.metadata.promptTokens(),
-				Math.min(expectedOutputTokens, this.metadata.maxOutputTokens()), this.route.objectiveMillis() - elapsed,
-				placeWait, this.context.settings.get().zone(), List.copyOf(this.triedEndpoints), units,
-				this.deadlineAt - now, returnKey());
+				Math.min(expectedOutputTokens, this.metadata.maxOutputTokens()), objective - elapsed, placeWait,
+				this.context.settings.get().zone(), List.copyOf(this.triedEndpoints), units, this.deadlineAt - now,
+				returnKey(), this.headSent);
 		this.placement = this.context.placements.requestPlace(placeRequest, new Placement.Listener() {
 			@Override
 			public void onGranted(String endpoint) {
@@ -284,6 +268,11 @@
 		}, now);
 	}
 
+	// Time from which the client counts the pause that it is waiting through.
+	private long lastEventAt() {
+		return this.headSent ? this.lastEventSentAt : this.request.arrivedAt();
+	}
+
 	// Identifies a request across client retries: a retry has a new attempt id, but the
 	// same target, organisation and prompt.
 	private String returnKey() {
@@ -307,6 +296,13 @@
 	}
 
 	private void send(String endpointId, long now) {
+		if (this.route.kind() == RequestKind.STREAMING
+				&& now - lastEventAt() >= StreamProgress.clientWaitMillis(this.route)) {
+			// The client has left, though its disconnect is still unread.
+			withdrawPlacement();
+			fail(ErrorKind.TIMED_OUT_WAITING, -1, "the client has given up");
+			return;
+		}
 		EndpointEntry endpoint = (endpointId != null) ? this.context.endpoints.get().acceptingById(endpointId) : null;
 		if (endpoint == null) {
 			withdrawPlacement();
@@ -475,29 +471,89 @@
 
 		private boolean paused;
 
-		private ScheduledRunnable headTimer;
+		private int reservedBytes;
+
+		private final StreamProgress progress;
+
+		private ScheduledRunnable progressTimer;
+
+		private long progressCheckAt;
 
 		Attempt(EndpointEntry endpoint, long sentAt) {
 			this.endpoint = endpoint;
 			this.sentAt = sentAt;
+			this.progress = new StreamProgress(Exchange.this.route, sentAt, Exchange.this.deadlineAt);
 		}
 
 		void start(OutgoingRequest endpointRequest, ConnectionPool.Options options) {
 			this.call = Exchange.this.context.connections.send(this.endpoint.address(), endpointRequest, options, this);
-			if (Exchange.this.route.repeatable() && Exchange.this.currentAttempt == this) {
-				long limit = HEAD_TIMEOUT_MARGIN_MILLIS + 2 * Exchange.this.route.objectiveMillis();
-				this.headTimer = Exchange.this.context.reactor.delay(limit, this::onHeadTimeout);
+			if (Exchange.this.currentAttempt == this) {
+				scheduleProgressCheck(this.sentAt);
+			}
+		}
+
+		private void scheduleProgressCheck(long now) {
+			cancelProgressTimer();
+			long checkAt = this.progress.nextCheckAt();
+			this.progressCheckAt = checkAt;
+			this.progressTimer = (checkAt < Exchange.this.deadlineAt)
+					? Exchange.this.context.reactor.delayBackground(Math.max(1, checkAt - now), this::checkProgress)
+					: null;
+		}
+
+		private void cancelProgressTimer() {
+			if (this.progressTimer != null) {
+				this.progressTimer.cancel();
+				this.progressTimer = null;
 			}
 		}
 
-		private void onHeadTimeout() {
-			if (Exchange.this.currentAttempt == this && this.firstEventAt < 0 && this.responseHead == null) {
-				cancel(AttemptResult.LOST);
-				onMayHaveRun(ErrorKind.CONNECTION_LOST,
-						"no response head from " + this.endpoint.id() + " within the time limit");
+		private void checkProgress() {
+			this.progressTimer = null;
+			if (Exchange.this.currentAttempt != this) {
+				return;
+			}
+			long now = Clocks.monotonicMillis();
+			if (this.paused) {
+				this.progress.onProgress(now);
+			}
+			switch (this.progress.check(now)) {
+				case GIVE_UP -> giveUp("no progress at " + this.endpoint.id() + " within the time limit",
+						ErrorKind.CONNECTION_LOST);
+				case STALLED -> {
+					reportStalled(true, now);
+					scheduleProgressCheck(now);
+				}
+				case IN_TIME -> scheduleProgressCheck(now);
 			}
 		}
 
+		private void recordProgress(long now) {
+			if (this.progress.onProgress(now)) {
+				reportStalled(false, now);
+			}
+			if (this.progressTimer == null || this.progress.nextCheckAt() < this.progressCheckAt) {
+				scheduleProgressCheck(now);
+			}
+		}
+
+		private void reportStalled(boolean stalled, long now) {
+			Exchange.this.context.log.write(LogEvent.ATTEMPT_STALLED, "request", Exchange.this.metadata.attemptId(),
+					"endpoint", this.endpoint.id(), "stalled", stalled, "events",
+					Exchange.this.events.eventCount() - this.eventCountBefore, "ms", now - this.sentAt);
+			if (this.heldPlace != null) {
+				Exchange.this.context.placements.stalled(this.heldPlace, stalled);
+			}
+		}
+
+		// Ends the attempt without waiting for the rest of the response. The request may
+		// have run.
+		private void giveUp(String reason, ErrorKind kind) {
+			this.call.cancel();
+			endAttempt(AttemptResult.LOST, reason);
+			onMayHaveRun(Exchange.this.headSent ? ErrorKind.STREAM_BROKEN : kind, reason);
+		}
+
 		@Override
 		public boolean accepts(HttpResponse response) {
 			return !Exchange.this.context.headerCodec.namesOtherAttempt(response, Exchange.this.metadata.attemptId());
@@ -509,9 +565,11 @@
 			EndpointResponse endpointResponse = Exchange.this.context.headerCodec.decodeResponse(response);
 			this.classification = endpointResponse.classify();
 			if (this.classification == EndpointResponse.Classification.UNUSABLE) {
-				cancel(AttemptResult.LOST);
-				onMayHaveRun(ErrorKind.BAD_ANSWER,
-						"unusable response with status " + endpointResponse.status() + " from " + this.endpoint.id());
+				giveUp("unusable response with status " + endpointResponse.status() + " from " + this.endpoint.id(),
+						ErrorKind.BAD_ANSWER);
+			}
+			else if (!streaming()) {
+				recordProgress(Clocks.monotonicMillis());
 			}
 		}
 
@@ -523,18 +581,38 @@
 		@Override
 		public void onBody(byte[] bytes) {
 			if (!streaming()) {
-				this.body.writeBytes(bytes);
+				addToBody(bytes);
 				return;
 			}
 			byte[] completeEvents = Exchange.this.events.add(bytes);
+			boolean tooManyEvents = Exchange.this.metadata.tokenCountsPresent() && Exchange.this.events
+				.eventCount() > ResponseLimits.maxEvents(Exchange.this.metadata.maxOutputTokens());
+			if (tooManyEvents || Exchange.this.events.incompleteBytes() > ResponseLimits.MAX_EVENT_BYTES) {
+				giveUp((tooManyEvents ? "more events than output tokens" : "event without end") + " from "
+						+ this.endpoint.id(), ErrorKind.BAD_ANSWER);
+				return;
+			}
 			if (completeEvents.length > 0) {
 				recordFirstEvent();
+				Exchange.this.lastEventSentAt = Clocks.monotonicMillis();
+				recordProgress(Exchange.this.lastEventSentAt);
 				sendHead();
 				Exchange.this.client.writeChunk(completeEvents);
 				pauseIfClientIsSlow();
 			}
 		}
 
+		private void addToBody(byte[] bytes) {
+			long length = (long) this.body.size() + bytes.length;
+			if (!Exchange.this.context.responseLimits.reserve(length, bytes.length)) {
+				giveUp("body of more than " + length + " bytes from " + this.endpoint.id(), ErrorKind.BAD_ANSWER);
+				return;
+			}
+			this.reservedBytes += bytes.length;
+			this.body.writeBytes(bytes);
+			this.progress.onProgress(Clocks.monotonicMillis());
+		}
+
 		private void recordFirstEvent() {
 			if (this.firstEventAt < 0) {
 				this.firstEventAt = Clocks.monotonicMillis();
@@ -667,9 +745,9 @@
 		private void endAttempt(AttemptResult result, String reason) {
 			Exchange.this.currentAttempt = null;
 			Exchange.this.placement = null;
-			if (this.headTimer != null) {
-				this.headTimer.cancel();
-			}
+			cancelProgressTimer();
+			Exchange.this.context.responseLimits.release(this.reservedBytes);
+			this.reservedBytes = 0;
 			long now = Clocks.monotonicMillis();
 			int eventCount = Exchange.this.events.eventCount() - this.eventCountBefore;
 			Exchange.this.context.log.write(LogEvent.ATTEMPT_ENDED, "request", Exchange.this.metadata.attemptId(),
--- a/src/main/java/carawayswitch/gateway/GatewayContext.java
+++ b/src/main/java/carawayswitch/gateway/GatewayContext.java
@@ -52,6 +52,8 @@
 
 	final Map<String, HostRetryBudget> retryBudgets = new HashMap<>();
 
+	final ResponseLimits responseLimits = new ResponseLimits();
+
 	GatewayPeers peers;
 
 	/** Whether endpoint entries have been read at least once. */
--- a/src/main/java/carawayswitch/gateway/Placement.java
+++ b/src/main/java/carawayswitch/gateway/Placement.java
@@ -70,7 +70,8 @@
 		return new PlaceRequest(original.requestId(), original.service(), original.urgency(), original.kind(),
 				original.organisation(), original.promptTokens(), original.outputTokens(),
 				original.objectiveMillis() - elapsed, original.patienceMillis() - elapsed, original.zone(),
-				original.excluded(), original.capUnits(), original.clientMillis() - elapsed, original.returnKey());
+				original.excluded(), original.capUnits(), original.clientMillis() - elapsed, original.returnKey(),
+				original.resumed());
 	}
 
 	Listener listener() {
--- a/src/main/java/carawayswitch/gateway/PlacementService.java
+++ b/src/main/java/carawayswitch/gateway/PlacementService.java
@@ -22,6 +22,7 @@
 import carawayswitch.message.PlaceEnded;
 import carawayswitch.message.PlaceReply;
 import carawayswitch.message.PlaceRequest;
+import carawayswitch.message.PlaceStalled;
 import carawayswitch.message.PlacesHeld;
 import carawayswitch.route.EndpointTable;
 import carawayswitch.route.RouteTable;
@@ -295,6 +296,15 @@
 		}
 	}
 
+	/**
+	 * Reports to the owner that a response has stalled or goes on.
+	 * @param placement the placement
+	 * @param stalled true if the response stalled, false if it goes on
+	 */
+	void stalled(Placement placement, boolean stalled) {
+		sendToOwner(new PlaceStalled(placement.id(), placement.service(), stalled));
+	}
+
 	/**
 	 * Releases a place after its attempt has ended.
 	 * @param placement the placement
@@ -361,6 +371,9 @@
 		else if (message instanceof PlaceBegun begun) {
 			this.localOwner.onFirstEvent(begun);
 		}
+		else if (message instanceof PlaceStalled stalled) {
+			this.localOwner.onStalled(stalled, now);
+		}
 		else if (message instanceof PlaceEnded ended) {
 			this.localOwner.onEnded(ended, now);
 		}
--- a/src/main/java/carawayswitch/gateway/PoolOwner.java
+++ b/src/main/java/carawayswitch/gateway/PoolOwner.java
@@ -15,6 +15,7 @@
 import carawayswitch.message.PlaceEnded;
 import carawayswitch.message.PlaceReply;
 import carawayswitch.message.PlaceRequest;
+import carawayswitch.message.PlaceStalled;
 import carawayswitch.route.EndpointEntry;
 import carawayswitch.route.EndpointTable;
 import carawayswitch.route.OrganisationPolicy;
@@ -254,7 +255,8 @@
 				PressurePolicy.WAIT, request.promptTokens(), 0, 0, request.outputTokens(), 0, now,
 				now + request.patienceMillis());
 		return new PoolRequest(work, host, request.zone(), now + request.objectiveMillis(),
-				new HashSet<>(request.excluded()), now + request.clientMillis(), request.returnKey());
+				new HashSet<>(request.excluded()), now + request.clientMillis(), request.returnKey(),
+				request.resumed());
 	}
 
 	/**
@@ -292,6 +294,10 @@
 		scheduler(message.service()).onFirstEvent(message.requestId(), message.millis());
 	}
 
+	void onStalled(PlaceStalled message, long now) {
+		scheduler(message.service()).onStalled(message.requestId(), message.stalled(), now);
+	}
+
 	void onEnded(PlaceEnded message, long now) {
 		PoolScheduler scheduler = scheduler(message.service());
 		// An empty result marks a withdrawn request or an unused place.
--- /dev/null
+++ b/src/main/java/carawayswitch/gateway/StreamProgress.java
@@ -0,0 +1,139 @@
+package carawayswitch.gateway;
+
+import carawayswitch.route.Route;
+
+/**
+ * Supervises the progress of one attempt from its dispatch to its end. A stream whose
+ * pause exceeds a multiple of the gap that its route allows is stalled, which is reported
+ * to the owner of the pool. An attempt that may be repeated is given up while the client
+ * still waits. Any other attempt goes on until its client or its deadline ends it, since
+ * a silent endpoint may still run it. Times are monotonic milliseconds. Confined to the
+ * event loop thread.
+ */
+final class StreamProgress {
+
+	/**
+	 * Clients give up a stream after this many latency objectives, after
+	 * {@link #CLIENT_WAIT_GAPS} times the longest allowed gap between events, or after
+	 * {@link #MIN_CLIENT_WAIT_MILLIS}, whichever is longest.
+	 */
+	private static final int CLIENT_WAIT_OBJECTIVES = 4;
+
+	private static final int CLIENT_WAIT_GAPS = 8;
+
+	private static final long MIN_CLIENT_WAIT_MILLIS = 2000;
+
+	/** A stream is stalled after this many times the longest allowed gap. */
+	private static final int STALL_GAPS = 4;
+
+	/** Shortest pause of a stalled stream in milliseconds. */
+	private static final long MIN_STALL_MILLIS = 600;
+
+	/**
+	 * Share of the client's wait after which a silent stream continues at another
+	 * endpoint; the rest of the wait is needed to read the prompt again.
+	 */
+	private static final double GIVE_UP_SHARE = 0.5;
+
+	/**
+	 * An attempt is given up if nothing usable arrives within two latency objectives plus
+	 * this margin in milliseconds, or within {@link #FIRST_ATTEMPT_SHARE} of the time to
+	 * the deadline.
+	 */
+	private static final long FIRST_EVENT_MARGIN_MILLIS = 1000;
+
+	private static final double FIRST_ATTEMPT_SHARE = 0.5;
+
+	private final Route route;
+
+	private final long firstEventLimitMillis;
+
+	private long lastProgressAt;
+
+	private boolean begun;
+
+	private boolean stalled;
+
+	StreamProgress(Route route, long dispatchedAt, long deadlineAt) {
+		this.route = route;
+		this.firstEventLimitMillis = Math.min(FIRST_EVENT_MARGIN_MILLIS + 2 * route.objectiveMillis(),
+				(long) ((deadlineAt - dispatchedAt) * FIRST_ATTEMPT_SHARE));
+		this.lastProgressAt = dispatchedAt;
+	}
+
+	/**
+	 * Returns the time after which the client of a silent stream gives up.
+	 * @param route the route of the request
+	 * @return time in milliseconds
+	 */
+	static long clientWaitMillis(Route route) {
+		return Math.max(MIN_CLIENT_WAIT_MILLIS,
+				Math.max(CLIENT_WAIT_OBJECTIVES * route.objectiveMillis(), CLIENT_WAIT_GAPS * route.maxGapMillis()));
+	}
+
+	/**
+	 * Records that a part of the answer arrived.
+	 * @param now monotonic time in milliseconds
+	 * @return true if the stream was stalled
+	 */
+	boolean onProgress(long now) {
+		boolean wasStalled = this.stalled;
+		this.begun = true;
+		this.stalled = false;
+		this.lastProgressAt = now;
+		return wasStalled;
+	}
+
+	/**
+	 * Returns the time of the next check.
+	 * @return monotonic time in milliseconds
+	 */
+	long nextCheckAt() {
+		return (this.begun && !this.stalled) ? stallAt() : giveUpAt();
+	}
+
+	/**
+	 * Decides on the pause of the attempt.
+	 * @param now monotonic time in milliseconds
+	 * @return the verdict; {@link Verdict#STALLED} once for each pause
+	 */
+	Verdict check(long now) {
+		if (now >= giveUpAt()) {
+			return Verdict.GIVE_UP;
+		}
+		if (this.begun && !this.stalled && now >= stallAt()) {
+			this.stalled = true;
+			return Verdict.STALLED;
+		}
+		return Verdict.IN_TIME;
+	}
+
+	private long stallAt() {
+		return this.lastProgressAt + Math.max(MIN_STALL_MILLIS, STALL_GAPS * this.route.maxGapMillis());
+	}
+
+	private long giveUpAt() {
+		if (!this.route.repeatable()) {
+			return Long.MAX_VALUE;
+		}
+		return this.lastProgressAt
+				+ (this.begun ? (long) (clientWaitMillis(this.route) * GIVE_UP_SHARE) : this.firstEventLimitMillis);
+	}
+
+	/**
+	 * What a pause means. Immutable.
+	 */
+	enum Verdict {
+
+		/** The attempt makes progress or may still do so. */
+		IN_TIME,
+
+		/** The stream is silent for longer than its route allows. */
+		STALLED,
+
+		/** The request is to be sent to another endpoint. */
+		GIVE_UP
+
+	}
+
+}
--- a/src/main/java/carawayswitch/http/ClientConnection.java
+++ b/src/main/java/carawayswitch/http/ClientConnection.java
@@ -27,7 +27,8 @@
  * HTTP/1.1 connection to a server, which carries one request at a time. Invariants: bytes
  * that follow a complete response are never taken for the response to a later request; a
  * response that belongs to another request is skipped; a connection is not reused after
- * an error or unexpected input. Confined to the thread of its event loop.
+ * an error or unexpected input; the bytes that are buffered or skipped outside of the
+ * response's body are bounded. Confined to the thread of its event loop.
  */
 public final class ClientConnection {
 
@@ -47,6 +48,15 @@
 
 	private static final long MILLIS_PER_SECOND = 1000;
 
+	/**
+	 * Most responses that are skipped before the one to the request: informational ones
+	 * and those to other requests.
+	 */
+	private static final int MAX_SKIPPED_RESPONSES = 32;
+
+	/** Most body bytes of skipped responses before the response to the request. */
+	private static final int MAX_SKIPPED_BYTES = 1024 * 1024;
+
 	private final TcpSocket socket;
 
 	private final LongSupplier monotonicMillis;
@@ -61,6 +71,10 @@
 
 	private boolean skippingResponse;
 
+	private int skippedResponses;
+
+	private int skippedBytes;
+
 	private boolean reusable = true;
 
 	private boolean closed;
@@ -112,6 +126,8 @@
 	 */
 	void send(OutgoingRequest request, ResponseListener responseListener) {
 		this.listener = responseListener;
+		this.skippedResponses = 0;
+		this.skippedBytes = 0;
 		request.headers().remove(HttpHeaderNames.TRANSFER_ENCODING);
 		if (request.body().length > 0 || !request.method().equals(HttpMethod.GET.name())) {
 			request.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
@@ -147,6 +163,10 @@
 			else if (buffer == null) {
 				onEndOfInput();
 			}
+			else if (this.listener == null) {
+				buffer.recycle();
+				fail("server sent bytes while no request was in flight");
+			}
 			else {
 				onParts(this.codec.decode(buffer.asArray()));
 				if (!this.closed && !this.paused) {
@@ -193,6 +213,9 @@
 		boolean informational = response.status().code() < 200;
 		this.skippingResponse = informational || !this.listener.accepts(response);
 		if (this.skippingResponse) {
+			if (++this.skippedResponses > MAX_SKIPPED_RESPONSES) {
+				fail("more than " + MAX_SKIPPED_RESPONSES + " responses before that to the request");
+			}
 			return;
 		}
 		this.reusable = HttpUtil.isKeepAlive(response)
@@ -221,6 +244,13 @@
 			content.content().readBytes(bytes);
 			this.listener.onBody(bytes);
 		}
+		else if (this.skippingResponse) {
+			this.skippedBytes += content.content().readableBytes();
+			if (this.skippedBytes > MAX_SKIPPED_BYTES) {
+				fail("more than " + MAX_SKIPPED_BYTES + " bytes before the response to the request");
+				return;
+			}
+		}
 		if (last && !this.closed) {
 			this.responseInProgress = false;
 			if (!this.skippingResponse) {
--- a/src/main/java/carawayswitch/log/LogEvent.java
+++ b/src/main/java/carawayswitch/log/LogEvent.java
@@ -101,6 +101,11 @@
 	/** A request was sent to an endpoint. */
 	ATTEMPT_SENT(Level.INFO),
 
+	/**
+	 * The stream of an attempt has paused for longer than its route allows, or goes on.
+	 */
+	ATTEMPT_STALLED(Level.INFO),
+
 	/** An attempt at an endpoint has ended. */
 	ATTEMPT_ENDED(Level.INFO),
 
--- a/src/main/java/carawayswitch/measure/PoolLoad.java
+++ b/src/main/java/carawayswitch/measure/PoolLoad.java
@@ -31,11 +31,14 @@
 			new PoolLoad("tag-flood", 1.3, List.of(new Burst(4.6, 6.7, 2.5, 2, -1)), List.of()),
 			new PoolLoad("report-flood", 1.3, List.of(new Burst(12, 3.3, 1.8, 0, -1)), List.of()),
 			new PoolLoad("large-organisation", 1.3, List.of(new Burst(7, 6, 6, -1, 4)), List.of()),
-			new PoolLoad("lost-engines", 1.3, List.of(), List.of(new Outage(8, 5, 0), new Outage(11, 2, 1))),
+			new PoolLoad("lost-engines", 1.3, List.of(),
+					List.of(new Outage(8, 5, 0, false), new Outage(11, 2, 1, false))),
+			new PoolLoad("dark-engines", 1.0, List.of(),
+					List.of(new Outage(8, 4.5, 0, true), new Outage(20, 4.5, 1, true))),
 			new PoolLoad("everything", 1.6,
 					List.of(new Burst(4.5, 6.9, 2.3, 2, -1), new Burst(12, 3.2, 1.8, 0, -1),
 							new Burst(8.7, 5.3, 3, -1, 3)),
-					List.of(new Outage(8, 5, 0), new Outage(11, 2, 1), new Outage(2, 32, 5))));
+					List.of(new Outage(8, 5, 0, false), new Outage(11, 2, 1, false), new Outage(2, 32, 5, false))));
 
 	/**
 	 * Returns the request rate of a kind for an organisation.
@@ -110,8 +113,10 @@
 	 * @param startSecond start in seconds
 	 * @param durationSeconds length in seconds
 	 * @param engine index of the engine
+	 * @param dark true if the engine keeps its connections and falls silent, false if it
+	 * fails and is replaced by a new one
 	 */
-	record Outage(double startSecond, double durationSeconds, int engine) {
+	record Outage(double startSecond, double durationSeconds, int engine, boolean dark) {
 
 	}
 
--- a/src/main/java/carawayswitch/measure/PoolSimulation.java
+++ b/src/main/java/carawayswitch/measure/PoolSimulation.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -46,6 +47,9 @@
 	/** Wait limit for a first event as a multiple of the objective of the kind. */
 	private static final int WAIT_LIMIT_OBJECTIVES = 4;
 
+	/** Silence of a stream in milliseconds after which its host reports it as stalled. */
+	private static final long STALL_MILLIS = 1000;
+
 	/** Clients retry if the delay is within this share of their remaining time. */
 	private static final double MAX_RETRY_AFTER_SHARE = 1 / 3.0;
 
@@ -67,6 +71,9 @@
 
 	private final Map<String, ClientRequest> requests = new HashMap<>();
 
+	/** Requests at an engine by id. */
+	private final Map<String, ClientRequest> dispatched = new LinkedHashMap<>();
+
 	private final List<PoolResult> results = new ArrayList<>();
 
 	private int nextId;
@@ -99,6 +106,10 @@
 		}
 		publishEngines();
 		for (PoolLoad.Outage outage : this.load.outages()) {
+			if (outage.dark()) {
+				scheduleDarkness(outage);
+				continue;
+			}
 			this.clock.schedule(outage.startSecond() * MILLIS_PER_SECOND, () -> failEngine(outage.engine()));
 			this.clock.schedule((outage.startSecond() + outage.durationSeconds()) * MILLIS_PER_SECOND, () -> {
 				this.engines.set(outage.engine(), newEngine(outage.engine()));
@@ -120,6 +131,13 @@
 		return engine;
 	}
 
+	private void scheduleDarkness(PoolLoad.Outage outage) {
+		SimulatedEngine engine = this.engines.get(outage.engine());
+		this.clock.schedule(outage.startSecond() * MILLIS_PER_SECOND, () -> engine.dark(true));
+		this.clock.schedule((outage.startSecond() + outage.durationSeconds()) * MILLIS_PER_SECOND,
+				() -> engine.dark(false));
+	}
+
 	private void failEngine(int index) {
 		this.engines.get(index).fail();
 		publishEngines();
@@ -182,8 +200,7 @@
 			return;
 		}
 		long deadline = request.arrivedAt + kind.clientTimeoutMillis();
-		double waitLimitMillis = Math.max(MIN_WAIT_LIMIT_MILLIS, WAIT_LIMIT_OBJECTIVES * kind.objectiveMillis())
-				* MAX_WAIT_SHARE;
+		double waitLimitMillis = request.waitLimitMillis() * MAX_WAIT_SHARE;
 		int urgency = Math.min(Tier.HIGHEST_URGENCY, kind.urgency());
 		int expectedTokens = Math.max(1,
 				(int) (request.outputTokens * Math.exp((this.estimateRandom.nextDouble() - 0.5) * 1.4)));
@@ -191,11 +208,12 @@
 				request.promptTokens, 0, 0, expectedTokens, 0, now, Math.min(deadline, now + (long) waitLimitMillis));
 		this.scheduler.offer(new PoolRequest(work, "host", "a",
 				now + kind.objectiveMillis() - ((request.rejections > 0) ? kind.objectiveMillis() : 0), Set.of(),
-				deadline, request.key), now);
+				deadline, request.key, false), now);
 		decide();
 	}
 
 	private void tick() {
+		List.copyOf(this.dispatched.values()).forEach(ClientRequest::checkSilence);
 		decide();
 		if (this.clock.now() < (PoolLoad.ARRIVAL_SECONDS + 15) * MILLIS_PER_SECOND) {
 			this.clock.schedule(TICK_INTERVAL_MILLIS, this::tick);
@@ -234,9 +252,12 @@
 			return;
 		}
 		request.dispatchedAt = this.clock.now();
-		engine.submit(new SimulatedEngine.Run(
+		request.progressAt = request.dispatchedAt;
+		this.dispatched.put(request.id, request);
+		request.run = new SimulatedEngine.Run(
 				new Request(0, null, "o", request.promptTokens, request.outputTokens, 0, 0, request.arrivedAt, false),
-				request));
+				request);
+		engine.submit(request.run);
 	}
 
 	/**
@@ -264,6 +285,12 @@
 
 		long firstEventAt = -1;
 
+		long progressAt;
+
+		boolean stalled;
+
+		SimulatedEngine.Run run;
+
 		int rejections;
 
 		ClientRequest(int kindIndex, int organisation, int promptTokens, int outputTokens, long arrivedAt) {
@@ -278,6 +305,24 @@
 			return PoolLoad.KINDS.get(this.kindIndex);
 		}
 
+		long waitLimitMillis() {
+			return (long) Math.max(MIN_WAIT_LIMIT_MILLIS, WAIT_LIMIT_OBJECTIVES * kind().objectiveMillis());
+		}
+
+		// A host reports a stalled stream; a client leaves a stream that stays silent.
+		void checkSilence() {
+			long now = PoolSimulation.this.clock.now();
+			if (now - this.progressAt > waitLimitMillis()) {
+				this.run.engine.cancel(this.run);
+				PoolSimulation.this.dispatched.remove(this.id);
+				PoolSimulation.this.scheduler.onEnded(this.id, AttemptResult.ABANDONED, 0, 0, now);
+			}
+			else if (this.firstEventAt >= 0 && !this.stalled && now - this.progressAt > STALL_MILLIS) {
+				this.stalled = true;
+				PoolSimulation.this.scheduler.onStalled(this.id, true, now);
+			}
+		}
+
 		double relativeSize() {
 			return kind().relativeSize(this.promptTokens, this.outputTokens);
 		}
@@ -285,6 +330,13 @@
 		@Override
 		public void onToken(SimulatedEngine.Run run) {
 			boolean event = run.generatedTokens % TOKENS_PER_EVENT == 0 || run.generatedTokens == this.outputTokens;
+			if (event) {
+				this.progressAt = PoolSimulation.this.clock.now();
+				if (this.stalled) {
+					this.stalled = false;
+					PoolSimulation.this.scheduler.onStalled(this.id, false, this.progressAt);
+				}
+			}
 			if (this.firstEventAt < 0 && event) {
 				this.firstEventAt = PoolSimulation.this.clock.now();
 				PoolSimulation.this.scheduler.onFirstEvent(this.id, this.firstEventAt - this.dispatchedAt);
@@ -294,6 +346,7 @@
 		@Override
 		public void onDone(SimulatedEngine.Run run) {
 			long now = PoolSimulation.this.clock.now();
+			PoolSimulation.this.dispatched.remove(this.id);
 			boolean served = now - this.arrivedAt <= kind().clientTimeoutMillis();
 			if (served) {
 				PoolSimulation.this.results.get(this.kindIndex)
@@ -306,6 +359,7 @@
 
 		@Override
 		public void onEngineFailed(SimulatedEngine.Run run) {
+			PoolSimulation.this.dispatched.remove(this.id);
 			PoolSimulation.this.scheduler.onEnded(this.id, AttemptResult.LOST, 0, 0, PoolSimulation.this.clock.now());
 		}
 
--- a/src/main/java/carawayswitch/measure/SimulatedEngine.java
+++ b/src/main/java/carawayswitch/measure/SimulatedEngine.java
@@ -34,6 +34,8 @@
 
 	private boolean failed;
 
+	private boolean dark;
+
 	private double slowdownFactor = 1;
 
 	private long processedPromptTokens;
@@ -116,8 +118,17 @@
 		interrupted.forEach((run) -> run.listener.onEngineFailed(run));
 	}
 
+	/**
+	 * Makes the engine fall silent, without notice to its runs, or go on.
+	 * @param dark true for a silent engine
+	 */
+	void dark(boolean dark) {
+		this.dark = dark;
+		startIfIdle();
+	}
+
 	private void startIfIdle() {
-		if (!this.stepping && !this.failed) {
+		if (!this.stepping && !this.failed && !this.dark) {
 			this.stepping = true;
 			startStep();
 		}
@@ -183,6 +194,10 @@
 		if (this.failed) {
 			return;
 		}
+		if (this.dark) {
+			this.stepping = false;
+			return;
+		}
 		for (Run run : List.copyOf(this.running)) {
 			if (run.remainingPromptTokens > 0) {
 				continue;
--- a/src/main/java/carawayswitch/schedule/PoolRequest.java
+++ b/src/main/java/carawayswitch/schedule/PoolRequest.java
@@ -14,9 +14,11 @@
  * @param clientDeadlineAt time after which the client does not retry
  * @param returnKey key that a rejected request and its retry by the client share, or
  * empty if retries are not recognised
+ * @param resumed true if the client has already received a part of the answer, so that it
+ * is not advised to come back later
  */
 public record PoolRequest(Work work, String host, String zone, long objectiveAt, Set<String> excluded,
-		long clientDeadlineAt, String returnKey) {
+		long clientDeadlineAt, String returnKey, boolean resumed) {
 
 	String id() {
 		return this.work.id();
--- a/src/main/java/carawayswitch/schedule/PoolScheduler.java
+++ b/src/main/java/carawayswitch/schedule/PoolScheduler.java
@@ -196,7 +196,8 @@
 	 * its objective is queued in turn. Any other is queued as late, unless its urgency is
 	 * overloaded or its expected wait is too long for its deadline, in which case it is
 	 * rejected immediately. A late request that is a client's retry after a rejection
-	 * goes before others of its organisation.
+	 * goes before others of its organisation. A resumed stream goes before new work and
+	 * waits until its deadline.
 	 * @param request the place request
 	 * @param now time in milliseconds
 	 */
@@ -210,6 +211,10 @@
 			reject(request, EndpointHealth.INITIAL_BACKOFF_MILLIS, "no_engine", now);
 			return;
 		}
+		if (request.resumed()) {
+			enqueue(this.onTimeQueue, request, true);
+			return;
+		}
 		boolean isRetry = removeRejection(request, now);
 		if (!isRetry) {
 			decayDemand(now);
@@ -485,7 +490,7 @@
 				removeWaiting(work.id());
 				reject(request, retryAfterMillis, lateInOverload ? "late_in_overload" : "waited_too_long", now);
 			}
-			else if (now + firstEventReserveMillis(request, now) > request.objectiveAt()
+			else if (!request.resumed() && now + firstEventReserveMillis(request, now) > request.objectiveAt()
 					&& this.onTimeQueue.remove(work.id()) != null) {
 				this.lateQueue.add(work);
 			}
@@ -526,6 +531,31 @@
 		}
 	}
 
+	/**
+	 * Records that the stream of an attempt has stalled or goes on. An engine is
+	 * suspected once all its streams are stalled: if only some are, it is busy with the
+	 * others or has preempted them.
+	 * @param id id of the work
+	 * @param stalled true if the stream stalled, false if it goes on
+	 * @param now time in milliseconds
+	 */
+	public void onStalled(String id, boolean stalled, long now) {
+		RunningAttempt attempt = this.running.get(id);
+		EngineState state = (attempt != null) ? this.engines.get(attempt.engine) : null;
+		if (state == null) {
+			return;
+		}
+		attempt.answering = true;
+		attempt.stalled = stalled;
+		invalidateCapacity();
+		if (!stalled) {
+			state.health.markHealthy();
+		}
+		else if (state.allStreamsStalled()) {
+			state.health.onOverdue(now);
+		}
+	}
+
 	/**
 	 * Records the end of an attempt.
 	 * @param id id of the work
@@ -691,6 +721,9 @@
 		/** Whether the first event of the answer has arrived. */
 		boolean answering;
 
+		/** Whether the stream pauses for longer than its route allows. */
+		boolean stalled;
+
 		RunningAttempt(PoolRequest request, String engine, long dispatchedAt, double expectedFirstEventMillis,
 				int backlogTokens) {
 			this.request = request;
@@ -738,6 +771,10 @@
 			return reservedTokens <= this.engine.kvTokens() * MAX_KV_SHARE;
 		}
 
+		boolean allStreamsStalled() {
+			return this.running.values().stream().allMatch((attempt) -> attempt.stalled || !attempt.answering);
+		}
+
 		// Prompt tokens of attempts whose answer has not begun.
 		int promptBacklogTokens() {
 			int tokens = 0;
--- a/src/main/java/carawayswitch/standin/EndpointStandIn.java
+++ b/src/main/java/carawayswitch/standin/EndpointStandIn.java
@@ -218,27 +218,29 @@
 			headers.set("Content-Type", "text/event-stream");
 			connection.beginChunked(OK, headers);
 			int lastEventId = Integer.parseInt(request.headers().get("Last-Event-Id", "0"));
-			stream(connection, lastEventId + 1, (mode == ResponseMode.TRUNCATE) ? lastEventId + 2 : Integer.MAX_VALUE);
+			stream(connection, lastEventId + 1, mode, lastEventId + 2);
 		}
 		else {
 			connection.respond(OK, headers, bytes("answer of " + this.id));
 		}
 	}
 
-	private void stream(ServerConnection connection, int nextEvent, int lastCompleteEvent) {
+	// Modes other than TRUNCATE and STALL ignore the last complete event.
+	private void stream(ServerConnection connection, int nextEvent, ResponseMode mode, int lastCompleteEvent) {
 		if (!this.openConnections.contains(connection)) {
 			return;
 		}
+		boolean afterLastComplete = nextEvent > lastCompleteEvent;
 		if (nextEvent > EVENTS_PER_STREAM) {
 			connection.endChunked();
 		}
-		else if (nextEvent > lastCompleteEvent) {
+		else if (mode == ResponseMode.TRUNCATE && afterLastComplete) {
 			connection.writeChunk(bytes("id: " + nextEvent + "\nda"));
 			this.loop.delay(this.eventIntervalMillis, connection::close);
 		}
-		else {
+		else if (mode != ResponseMode.STALL || !afterLastComplete) {
 			connection.writeChunk(bytes("id: " + nextEvent + "\ndata: token" + nextEvent + "\n\n"));
-			this.loop.delay(this.eventIntervalMillis, () -> stream(connection, nextEvent + 1, lastCompleteEvent));
+			this.loop.delay(this.eventIntervalMillis, () -> stream(connection, nextEvent + 1, mode, lastCompleteEvent));
 		}
 	}
 
@@ -276,7 +278,10 @@
 		UNSEALED,
 
 		/** Closes the connection in the middle of the third event of a stream. */
-		TRUNCATE
+		TRUNCATE,
+
+		/** Sends two events of a stream and then nothing, with the connection open. */
+		STALL
 
 	}
 
--- a/src/test/java/carawayswitch/schedule/PoolSchedulerTests.java
+++ b/src/test/java/carawayswitch/schedule/PoolSchedulerTests.java
@@ -35,7 +35,7 @@
 	private PoolRequest request(int urgency, String organisation, long now, long objectiveMillis, long deadlineMillis) {
 		Work work = new Work("w" + this.nextId++, urgency, "kind" + urgency, 1, organisation, 1, PressurePolicy.WAIT,
 				600, 0, 0, 100, 0, now, now + deadlineMillis);
-		return new PoolRequest(work, "host", "a", now + objectiveMillis, Set.of(), now + 15_000, "");
+		return new PoolRequest(work, "host", "a", now + objectiveMillis, Set.of(), now + 15_000, "", false);
 	}
 
 	private void engines(String... ids) {
@@ -82,6 +82,71 @@
 		assertThat(grantedIds(this.scheduler.decide(50))).containsExactly(urgent.id());
 	}
 
+	@Test
+	void resumedStreamGoesBeforeNewWorkAndIsNotRejectedInOverload() {
+		engines("e1");
+		for (int i = 0; i < 40; i++) {
+			this.scheduler.offer(request(URGENT, "o", 0, 400, 1400), 0);
+		}
+		this.scheduler.decide(0);
+		PoolRequest begun = request(URGENT, "o", 10, 0, 900);
+		PoolRequest resumed = new PoolRequest(begun.work(), "host", "a", begun.objectiveAt(), Set.of(), 15_000, "",
+				true);
+		assertThat(offer(resumed, 10)).isEmpty();
+		this.scheduler.onEnded("w0", AttemptResult.ANSWERED, 100, 50, 20);
+		assertThat(grantedIds(this.scheduler.decide(20))).containsExactly(resumed.id());
+	}
+
+	private String startStream(long now) {
+		String id = grantedIds(offer(request(URGENT, "o", now), now)).get(0);
+		this.scheduler.onFirstEvent(id, 30);
+		return id;
+	}
+
+	@Test
+	void darkEngineGetsNoWorkOnceAllItsStreamsHaveStalled() {
+		engines("e1");
+		String first = startStream(0);
+		String second = startStream(0);
+		this.scheduler.onStalled(first, true, 800);
+		this.scheduler.onStalled(second, true, 900);
+		this.scheduler.onEnded(first, AttemptResult.ABANDONED, 0, 0, 1000);
+		assertThat(grantedIds(offer(request(URGENT, "o", 1000), 1000))).isEmpty();
+		this.scheduler.onEnded(second, AttemptResult.ABANDONED, 0, 0, 1100);
+		assertThat(grantedIds(offer(request(URGENT, "o", 1100), 1100))).isEmpty();
+	}
+
+	@Test
+	void darkEngineIsProbedWithOneRequestAtATime() {
+		engines("e1");
+		String first = startStream(0);
+		this.scheduler.onStalled(first, true, 800);
+		this.scheduler.onEnded(first, AttemptResult.ABANDONED, 0, 0, 1000);
+		long probeAt = 800 + EndpointHealth.INITIAL_BACKOFF_MILLIS;
+		assertThat(grantedIds(offer(request(URGENT, "o", probeAt), probeAt))).hasSize(1);
+		assertThat(grantedIds(offer(request(URGENT, "o", probeAt), probeAt))).isEmpty();
+	}
+
+	@Test
+	void engineThatServesOtherStreamsKeepsItsWorkWhenOneStreamStalls() {
+		engines("e1");
+		String stalled = startStream(0);
+		String served = startStream(0);
+		this.scheduler.onStalled(stalled, true, 800);
+		this.scheduler.onEnded(served, AttemptResult.ANSWERED, 100, 50, 900);
+		assertThat(grantedIds(offer(request(URGENT, "o", 900), 900))).hasSize(1);
+	}
+
+	@Test
+	void engineGetsWorkAgainOnceAStalledStreamGoesOn() {
+		engines("e1");
+		String first = startStream(0);
+		this.scheduler.onStalled(first, true, 800);
+		assertThat(grantedIds(offer(request(URGENT, "o", 900), 900))).isEmpty();
+		this.scheduler.onStalled(first, false, 1000);
+		assertThat(grantedIds(offer(request(URGENT, "o", 1000), 1000))).hasSize(1);
+	}
+
 	@Test
 	void keepsSlotsFreeWhileUrgentWorkIsActive() {
 		String[] ids = new String[10];
@@ -133,7 +198,7 @@
 		this.scheduler.decide(100);
 		Work large = new Work("large", URGENT, "report", 1, "other", 1, PressurePolicy.WAIT, 100_000, 0, 0, 100, 0, 100,
 				3100);
-		PoolRequest request = new PoolRequest(large, "host", "a", 1100, Set.of(), 15_000, "");
+		PoolRequest request = new PoolRequest(large, "host", "a", 1100, Set.of(), 15_000, "", false);
 		assertThat(offer(request, 100)).isEmpty();
 		assertThat(this.scheduler.waitingCount()).isPositive();
 		this.scheduler.onEnded("w1", AttemptResult.ANSWERED, 100, 50, 110);
