--- a/src/main/java/carawayswitch/standin/GatewayFleet.java
+++ b/src/main/java/carawayswitch/standin/GatewayFleet.java
@@ -11,6 +11,7 @@
 
 import carawayswitch.gateway.GatewayHost;
 import carawayswitch.gateway.GatewaySettings;
+import carawayswitch.gateway.HeaderCodec;
 import carawayswitch.http.Json;
 import carawayswitch.platform.PlatformHeaderCodec;
 import carawayswitch.platform.StoreClient;
@@ -87,10 +88,22 @@
 	 * @throws IOException if a port cannot be bound
 	 */
 	public GatewayHost addHost(int metricsPort) throws IOException {
+		return addHost(metricsPort, new PlatformHeaderCodec());
+	}
+
+	/**
+	 * Starts another gateway host.
+	 * @param metricsPort port for metrics, 0 for an ephemeral port, or
+	 * {@link GatewayHost#NO_METRICS}
+	 * @param headerCodec codec for the headers of requests and responses
+	 * @return the host
+	 * @throws IOException if a port cannot be bound
+	 */
+	public GatewayHost addHost(int metricsPort, HeaderCodec headerCodec) throws IOException {
 		InetSocketAddress anyPort = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
 		GatewaySettings settings = new GatewaySettings("host-" + this.hosts.size(), "a", anyPort, anyPort, anyPort,
 				this.store.address(), CAPACITY_MILLICORES, BOUNDS);
-		GatewayHost host = GatewayHost.start(settings, metricsPort, new PlatformHeaderCodec(),
+		GatewayHost host = GatewayHost.start(settings, metricsPort, headerCodec,
 				(reactor, pool) -> new StoreClient(reactor, pool, this.store.address()));
 		this.hosts.add(host);
 		return host;
--- a/src/test/java/carawayswitch/gateway/GatewayTests.java
+++ b/src/test/java/carawayswitch/gateway/GatewayTests.java
@@ -2,10 +2,12 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -206,9 +208,10 @@
 		assertThat(answer.body()).isEqualTo("failed");
 	}
 
-	@Test
-	void resumableStreamContinuesAtAnotherEngine() throws Exception {
-		engines(EndpointStandIn.ResponseMode.TRUNCATE);
+	@ParameterizedTest
+	@EnumSource(names = { "TRUNCATE", "STALL" })
+	void resumableStreamContinuesAtAnotherEngine(EndpointStandIn.ResponseMode mode) throws Exception {
+		engines(mode);
 		HttpResponse<String> answer = post(0, "/summary/1");
 		assertThat(answer.body()).isEqualTo(completeStream());
 		assertThat(engineRuns()).isBetween(2, 3);
@@ -221,6 +224,15 @@
 		assertThat(engineRuns()).isOne();
 	}
 
+	@Test
+	void silentNonResumableStreamIsLeftToItsEngineUntilTheDeadline() throws Exception {
+		engines(EndpointStandIn.ResponseMode.STALL);
+		long start = System.nanoTime();
+		assertThatThrownBy(() -> post(0, "/report/1")).isInstanceOf(IOException.class);
+		assertThat(Duration.ofNanos(System.nanoTime() - start)).isGreaterThan(Duration.ofMillis(2500));
+		assertThat(engineRuns()).isOne();
+	}
+
 	@Test
 	void drainingEndpointReceivesNoNewRequests() throws Exception {
 		EndpointStandIn leaving = this.fleet.engines().get(0);
@@ -323,6 +335,44 @@
 		}
 	}
 
+	@Test
+	void requestWhoseClientLeftBeforeItWasReadIsNotSent() throws Exception {
+		PausingHeaderCodec codec = new PausingHeaderCodec();
+		InetSocketAddress address = this.fleet.addHost(GatewayHost.NO_METRICS, codec).frontAddress();
+		await(() -> {
+			try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+				send(socket, "/open/ready");
+				return new String(socket.getInputStream().readNBytes(12), StandardCharsets.US_ASCII).endsWith("200");
+			}
+			catch (IOException ex) {
+				throw new IllegalStateException(ex);
+			}
+		});
+		int runsBefore = this.fleet.plainEndpoint().executions().size();
+		codec.pauseNextRequest();
+		try (Socket busy = new Socket(address.getAddress(), address.getPort())) {
+			send(busy, "/open/busy");
+			codec.awaitPause();
+			try (Socket leaving = new Socket(address.getAddress(), address.getPort())) {
+				send(leaving, "/open/left");
+			}
+			codec.resume();
+			busy.getInputStream().read();
+		}
+		try (Socket last = new Socket(address.getAddress(), address.getPort())) {
+			send(last, "/open/last");
+			last.getInputStream().read();
+		}
+		assertThat(this.fleet.plainEndpoint().executions()).hasSize(runsBefore + 2);
+	}
+
+	private static void send(Socket socket, String path) throws IOException {
+		socket.getOutputStream()
+			.write(("GET " + path + " HTTP/1.1\r\nHost: " + GatewayFleet.ROUTE_HOST_NAME + "\r\nX-Attempt-Id: " + path
+					+ "\r\n\r\n")
+				.getBytes(StandardCharsets.US_ASCII));
+	}
+
 	@Test
 	void clientDisconnectClosesEngineConnection() throws Exception {
 		engines(EndpointStandIn.ResponseMode.HANG);
