--- a/src/main/java/carawayswitch/gateway/FrontServer.java
+++ b/src/main/java/carawayswitch/gateway/FrontServer.java
@@ -79,9 +79,7 @@
 			this.connections.replace(connection, exchange[0], null);
 		});
 		this.connections.put(connection, exchange[0]);
-		// Starts one turn of the event loop later, so that a disconnect that the socket
-		// has already received is read first.
-		this.context.reactor.postNext(() -> exchange[0].start(Clocks.monotonicMillis()));
+		exchange[0].start(Clocks.monotonicMillis());
 	}
 
 	@Override
