Scheduler: a request that returns after a rejection is late work

Cause: the gateway sends a returning request with a full objective, as it cannot know its first attempt; the owner knows it by its return key, but took it for fresh work. The simulation subtracted the objective and did not show this. Change: the owner queues a returning request as late, first of its organisation; the simulation sends what the gateway sends.

--- a/src/main/java/carawayswitch/measure/PoolSimulation.java
+++ b/src/main/java/carawayswitch/measure/PoolSimulation.java
@@ -207,9 +207,8 @@
 				(int) (request.outputTokens * Math.exp((this.estimateRandom.nextDouble() - 0.5) * 1.4)));
 		Work work = new Work(request.id, urgency, kind.name(), 1, "o" + request.organisation, 1, PressurePolicy.WAIT,
 				request.promptTokens, 0, 0, expectedTokens, 0, now, Math.min(deadline, now + (long) waitLimitMillis));
-		this.scheduler.offer(new PoolRequest(work, "host", "a",
-				now + kind.objectiveMillis() - ((request.rejections > 0) ? kind.objectiveMillis() : 0), Set.of(),
-				deadline, request.key, false, (long) PoolLoad.MAX_GAP_MILLIS), now);
+		this.scheduler.offer(new PoolRequest(work, "host", "a", now + kind.objectiveMillis(), Set.of(), deadline,
+				request.key, false, (long) PoolLoad.MAX_GAP_MILLIS), now);
 		decide();
 	}
 
--- a/src/main/java/carawayswitch/schedule/PoolScheduler.java
+++ b/src/main/java/carawayswitch/schedule/PoolScheduler.java
@@ -217,9 +217,9 @@
 	 * request that already waits or runs is ignored. A request that is expected to meet
 	 * its objective is queued in turn. Any other is queued as late, unless its urgency is
 	 * overloaded or its expected wait is too long for its deadline, in which case it is
-	 * rejected immediately. A late request that is a client's retry after a rejection
-	 * goes before others of its organisation. A resumed stream goes before new work and
-	 * waits until its deadline.
+	 * rejected immediately. A client's retry after a rejection is late, since its
+	 * objective counts from the first attempt, and goes before other late requests of its
+	 * organisation. A resumed stream goes before new work and waits until its deadline.
 	 * @param request the place request
 	 * @param now time in milliseconds
 	 */
@@ -247,8 +247,8 @@
 		double waitMillis = engineFree ? 0 : estimateWaitMillis(work, this.onTimeQueue, now);
 		double lateWaitMillis = waitMillis + estimateWaitMillis(work, this.lateQueue, now);
 		double maxWaitMillis = (work.deadlineMillis() - now) * MAX_WAIT_SHARE;
-		boolean onTime = now + waitMillis * WAIT_ESTIMATE_FACTOR + firstEventReserveMillis(request, now) <= request
-			.objectiveAt();
+		boolean onTime = !isRetry && now + waitMillis * WAIT_ESTIMATE_FACTOR
+				+ firstEventReserveMillis(request, now) <= request.objectiveAt();
 		if (onTime) {
 			enqueue(this.onTimeQueue, request, false);
 		}
@@ -368,9 +368,8 @@
 		}
 		// The start of a request doesn't depend on its own length, so that the new work
 		// counts like a mean one if it is longer.
-		double meanMillis = queue.backlog(urgency).meanSlotMillis(current.speed());
 		double ownMillis = queue.backlog(urgency, work.organisation()).slotMillis(current.speed())
-				+ Math.min(meanMillis, occupancyMillis(work, now));
+				+ Math.min(occupancyMillis(work, now), queue.backlog(urgency).meanSlotMillis(current.speed()));
 		for (Map.Entry<String, WaitingQueue.Backlog> entry : queue.backlogByOrganisation(urgency).entrySet()) {
 			double organisationMillis = entry.getValue().slotMillis(current.speed());
 			aheadMillis += entry.getKey().equals(work.organisation()) ? organisationMillis
--- a/src/test/java/carawayswitch/schedule/PoolSchedulerTests.java
+++ b/src/test/java/carawayswitch/schedule/PoolSchedulerTests.java
@@ -173,6 +173,31 @@
 		assertThat(grantedIds(this.scheduler.decide(400))).containsExactly(waiting.id());
 	}
 
+	private PoolRequest returning(PoolRequest request) {
+		return new PoolRequest(request.work(), request.host(), request.zone(), request.objectiveAt(), Set.of(),
+				request.clientDeadlineAt(), "key", false, 0);
+	}
+
+	@Test
+	void retryAfterARejectionYieldsToFreshWorkThatCanStillBeOnTime() {
+		engines("e1");
+		for (int i = 0; i < 3; i++) {
+			offer(request(URGENT, "o", 0), 0);
+		}
+		assertThat(offer(returning(request(URGENT, "o", 0, -1, 1)), 0)).singleElement()
+			.matches((decision) -> !decision.granted());
+		PoolRequest retry = returning(request(URGENT, "o", 100));
+		PoolRequest fresh = request(URGENT, "o", 110);
+		assertThat(offer(retry, 100)).isEmpty();
+		assertThat(offer(fresh, 110)).isEmpty();
+		List<String> granted = new ArrayList<>();
+		for (String ended : List.of("w0", "w1", "w2")) {
+			this.scheduler.onEnded(ended, AttemptResult.ANSWERED, new StreamStats(100, 50, 0), 120);
+			granted.addAll(grantedIds(this.scheduler.decide(120)));
+		}
+		assertThat(granted).containsExactly("w2", fresh.id(), retry.id());
+	}
+
 	private String startStream(long now) {
 		String id = grantedIds(offer(request(URGENT, "o", now), now)).get(0);
 		this.scheduler.onFirstEvent(id, 30);
