Gateway: a silent attempt is cut only if the request is then repeated

Change: the attempt is cut once the route and the retry budget allow another one; otherwise its answer is awaited. Test: silentIdempotentRequestIsRepeatedAndItsLastAttemptLeftUntilTheDeadline (502 before, 504 now).

--- a/src/main/java/carawayswitch/gateway/Exchange.java
+++ b/src/main/java/carawayswitch/gateway/Exchange.java
@@ -375,21 +375,31 @@
 
 	// Retries or fails after an attempt that may have run.
 	private void onMayHaveRun(ErrorKind kind, String reason) {
-		this.mayHaveRun = true;
-		this.possibleRuns++;
 		long now = Clocks.monotonicMillis();
-		boolean retry = this.route.repeatable() && this.possibleRuns < this.route.maxAttempts() && now < this.deadlineAt
-				&& this.context.retryBudget(this.service).tryRetry(hostCount(), now);
-		if (retry) {
-			this.events.discardIncompleteEvent();
-			this.context.metrics.add(Metric.RETRIES, 1, "service", this.service);
-			dispatch(now);
+		if (tryRepeat(now)) {
+			repeat(now);
 		}
 		else {
+			this.mayHaveRun = true;
 			fail(kind, -1, reason);
 		}
 	}
 
+	// Returns whether the request may run once more although it may already have run, and
+	// charges the retry budget if so.
+	private boolean tryRepeat(long now) {
+		return this.route.repeatable() && this.possibleRuns + 1 < this.route.maxAttempts() && now < this.deadlineAt
+				&& this.context.retryBudget(this.service).tryRetry(hostCount(), now);
+	}
+
+	private void repeat(long now) {
+		this.mayHaveRun = true;
+		this.possibleRuns++;
+		this.events.discardIncompleteEvent();
+		this.context.metrics.add(Metric.RETRIES, 1, "service", this.service);
+		dispatch(now);
+	}
+
 	private int hostCount() {
 		return this.context.peers.largestFleetSize();
 	}
@@ -536,8 +546,7 @@
 				this.progress.onProgress(now);
 			}
 			switch (this.progress.check(now)) {
-				case GIVE_UP -> giveUp("no progress at " + this.endpoint.id() + " within the time limit",
-						ErrorKind.CONNECTION_LOST);
+				case GIVE_UP -> repeatElsewhere(now);
 				case STALLED -> {
 					reportStalled(true, now);
 					scheduleProgressCheck(now);
@@ -546,6 +555,16 @@
 			}
 		}
 
+		// Leaves a silent attempt to its endpoint if it must not be repeated, since the
+		// answer may still come.
+		private void repeatElsewhere(long now) {
+			if (tryRepeat(now)) {
+				this.call.cancel();
+				endAttempt(AttemptResult.LOST, "no progress within the time limit");
+				repeat(now);
+			}
+		}
+
 		private void recordProgress(long now) {
 			if (this.progress.onProgress(now)) {
 				reportStalled(false, now);
@@ -716,16 +735,10 @@
 
 		private void completeErrorResponse() {
 			endAttempt(AttemptResult.FAILED, "status " + this.responseHead.status().code());
-			boolean retry = Exchange.this.route.repeatable() && !Exchange.this.headSent
-					&& Exchange.this.possibleRuns + 1 < Exchange.this.route.maxAttempts()
-					&& this.responseHead.status().code() >= 500
-					&& Exchange.this.context.retryBudget(Exchange.this.service)
-						.tryRetry(hostCount(), Clocks.monotonicMillis());
+			long now = Clocks.monotonicMillis();
+			boolean retry = !Exchange.this.headSent && this.responseHead.status().code() >= 500 && tryRepeat(now);
 			if (retry) {
-				Exchange.this.possibleRuns++;
-				Exchange.this.mayHaveRun = true;
-				Exchange.this.context.metrics.add(Metric.RETRIES, 1, "service", Exchange.this.service);
-				dispatch(Clocks.monotonicMillis());
+				repeat(now);
 			}
 			else if (Exchange.this.headSent) {
 				fail(ErrorKind.STREAM_BROKEN, -1,
--- a/src/test/java/carawayswitch/gateway/GatewayTests.java
+++ b/src/test/java/carawayswitch/gateway/GatewayTests.java
@@ -224,6 +224,13 @@
 		assertThat(engineRuns()).isOne();
 	}
 
+	@Test
+	void silentIdempotentRequestIsRepeatedAndItsLastAttemptLeftUntilTheDeadline() throws Exception {
+		this.fleet.plainEndpoint().responseMode(EndpointStandIn.ResponseMode.HANG);
+		assertThat(post(0, "/status/1").statusCode()).isEqualTo(504);
+		assertThat(this.fleet.plainEndpoint().executions()).hasSize(2);
+	}
+
 	@Test
 	void silentNonResumableStreamIsLeftToItsEngineUntilTheDeadline() throws Exception {
 		engines(EndpointStandIn.ResponseMode.STALL);
