Transport: the handshake has a time limit of its own

Change: a handshake may take the silence timeout, and a second at least. Test: a relay that delays the first bytes by twice the silence timeout; it fails without the change.

--- a/src/main/java/carawayswitch/transport/OutgoingConnection.java
+++ b/src/main/java/carawayswitch/transport/OutgoingConnection.java
@@ -201,24 +201,24 @@
 	 * @param nowMillis current time in milliseconds
 	 * @param pingAfterMillis time in milliseconds without a frame from the peer after
 	 * which it is pinged
-	 * @param silenceTimeoutMillis time in milliseconds for which a ping, or the
-	 * handshake, may stay unanswered before the connection is closed
+	 * @param timing times for which a ping and the handshake may stay unanswered before
+	 * the connection is closed
 	 * @param idleTimeoutMillis time in milliseconds without a message to send after which
 	 * the connection is closed, unless an answer is awaited
 	 * @param answerAwaited true if an answer of the peer is awaited
 	 */
-	void probe(long nowMillis, long pingAfterMillis, long silenceTimeoutMillis, long idleTimeoutMillis,
+	void probe(long nowMillis, long pingAfterMillis, PeerTransport.Timing timing, long idleTimeoutMillis,
 			boolean answerAwaited) {
-		boolean silent = this.unansweredSinceMillis > 0
-				&& nowMillis - this.unansweredSinceMillis > silenceTimeoutMillis;
+		long limitMillis = this.verified ? timing.silenceTimeoutMillis() : timing.handshakeTimeoutMillis();
+		boolean silent = this.unansweredSinceMillis > 0 && nowMillis - this.unansweredSinceMillis > limitMillis;
 		if (silent) {
-			close("no answer for " + silenceTimeoutMillis + " ms");
+			close("no answer for " + limitMillis + " ms");
 		}
 		else if (this.verified && !answerAwaited && nowMillis - this.lastUsedMillis > idleTimeoutMillis) {
 			close(IDLE_REASON);
 		}
 		else if (this.verified && nowMillis - this.lastReceivedMillis >= pingAfterMillis
-				&& (answerAwaited || nowMillis - this.lastUsedMillis <= silenceTimeoutMillis)) {
+				&& (answerAwaited || nowMillis - this.lastUsedMillis <= timing.silenceTimeoutMillis())) {
 			this.unansweredSinceMillis = (this.unansweredSinceMillis > 0) ? this.unansweredSinceMillis : nowMillis;
 			write(FrameCodec.encode(new Ping(this.nextPingSequence++)));
 		}
--- a/src/main/java/carawayswitch/transport/PeerTransport.java
+++ b/src/main/java/carawayswitch/transport/PeerTransport.java
@@ -127,11 +127,11 @@
 		Set<String> awaited = this.handler.awaitedPeers();
 		long pingAfterMillis = (long) (this.timing.pingIntervalMillis() * PING_AFTER_FRACTION);
 		for (OutgoingConnection connection : List.copyOf(this.outgoing.values())) {
-			connection.probe(nowMillis, pingAfterMillis, this.timing.silenceTimeoutMillis(), IDLE_TIMEOUT_MILLIS,
+			connection.probe(nowMillis, pingAfterMillis, this.timing, IDLE_TIMEOUT_MILLIS,
 					awaited.contains(connection.peer()));
 		}
 		for (IncomingConnection connection : List.copyOf(this.incoming)) {
-			connection.closeIfSilent(nowMillis, this.timing.silenceTimeoutMillis(),
+			connection.closeIfSilent(nowMillis, this.timing.handshakeTimeoutMillis(),
 					IDLE_TIMEOUT_MILLIS + this.timing.silenceTimeoutMillis());
 		}
 	}
@@ -243,6 +243,20 @@
 	 */
 	public record Timing(long pingIntervalMillis, long silenceTimeoutMillis) {
 
+		/**
+		 * Shortest time in milliseconds for which a handshake may stay unanswered. A host
+		 * that has just started answers its first handshake slowly.
+		 */
+		private static final long MIN_HANDSHAKE_TIMEOUT_MILLIS = 1000;
+
+		/**
+		 * Returns the time for which the connect and the handshake may stay unanswered.
+		 * @return time in milliseconds, at least the silence timeout
+		 */
+		long handshakeTimeoutMillis() {
+			return Math.max(this.silenceTimeoutMillis, MIN_HANDSHAKE_TIMEOUT_MILLIS);
+		}
+
 	}
 
 }
--- a/src/test/java/carawayswitch/transport/SilentConnectionTests.java
+++ b/src/test/java/carawayswitch/transport/SilentConnectionTests.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
 import io.activej.common.function.RunnableEx;
 import io.activej.eventloop.Eventloop;
@@ -41,6 +42,8 @@
 
 	private volatile int silencedConnections;
 
+	private volatile long firstBytesDelayMillis;
+
 	private int receiverPort;
 
 	@BeforeEach
@@ -74,6 +77,15 @@
 		assertThat(this.events.poll(10, TimeUnit.SECONDS)).isEqualTo("b received 3 from a");
 	}
 
+	@Test
+	void handshakeThatTakesLongerThanTheSilenceTimeoutLosesNoMessage() throws Exception {
+		this.firstBytesDelayMillis = 2 * TIMING.silenceTimeoutMillis();
+		PeerTransport sender = newTransport("a", "127.0.0.1:" + this.relay.getLocalPort());
+		listen(sender);
+		sender.send("b", new RecordsRequest(1));
+		assertThat(this.events.poll(10, TimeUnit.SECONDS)).isEqualTo("b received 1 from a");
+	}
+
 	private int listen(PeerTransport transport) {
 		CompletableFuture<Integer> bound = new CompletableFuture<>();
 		RunnableEx task = () -> bound.complete(transport.listen(new InetSocketAddress("127.0.0.1", 0)).getPort());
@@ -108,6 +120,7 @@
 			int connection = number;
 			Socket senderSide = this.relay.accept();
 			Socket receiverSide = new Socket("127.0.0.1", this.receiverPort);
+			LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(this.firstBytesDelayMillis));
 			startDaemon(() -> copy(senderSide, receiverSide, connection));
 			startDaemon(() -> copy(receiverSide, senderSide, connection));
 		}
