--- a/src/main/java/carawayswitch/standin/GatewayFleet.java
+++ b/src/main/java/carawayswitch/standin/GatewayFleet.java
@@ -42,6 +42,12 @@
 
 	private static final int CAPACITY_MILLICORES = 1000;
 
+	/**
+	 * Largest number of attempts, also of routes whose requests must not be repeated, so
+	 * that only the kind of a route keeps the gateway from repeating them.
+	 */
+	private static final int MAX_ATTEMPTS = 3;
+
 	private static final GatewaySettings.Bounds BOUNDS = new GatewaySettings.Bounds(2000, 2000, true, 3000, 4000, 0.2,
 			54, 10_000, 8000, 0.1, 140_000);
 
@@ -128,9 +134,10 @@
 	public static byte[] configuration(int version, String... keys) {
 		ObjectNode configuration = Json.object().put("version", version);
 		ArrayNode routes = configuration.putArray("routes");
-		route(routes, "report", "streaming", ENGINE_SERVICE, 1).put("priority", 0);
-		route(routes, "summary", "streaming", ENGINE_SERVICE, 3).put("priority", 1).put("stream-resume", true);
-		route(routes, "book", "non_idempotent", PLAIN_SERVICE, 1);
+		route(routes, "report", "streaming", ENGINE_SERVICE, MAX_ATTEMPTS).put("priority", 0);
+		route(routes, "summary", "streaming", ENGINE_SERVICE, MAX_ATTEMPTS).put("priority", 1)
+			.put("stream-resume", true);
+		route(routes, "book", "non_idempotent", PLAIN_SERVICE, MAX_ATTEMPTS);
 		route(routes, "status", "idempotent", PLAIN_SERVICE, 2);
 		route(routes, "open", "idempotent", PLAIN_SERVICE, 2).put("auth-exempt", true);
 		ArrayNode services = configuration.putArray("services");
