--- a/src/main/java/carawayswitch/gateway/Exchange.java
+++ b/src/main/java/carawayswitch/gateway/Exchange.java
@@ -300,9 +300,8 @@
 		return (this.organisation != null) ? this.organisation.name() : "";
 	}
 
-	// Acts one turn of the event loop later, so that a disconnect that the client's
-	// socket
-	// has already received is read first.
+	// Acts one turn of the event loop later, so that a disconnect that has already
+	// arrived is read first.
 	private void afterPendingDisconnects(LongConsumer action) {
 		this.context.reactor.postNext(() -> {
 			if (!this.finished) {
--- a/src/main/java/carawayswitch/schedule/PoolScheduler.java
+++ b/src/main/java/carawayswitch/schedule/PoolScheduler.java
@@ -56,9 +56,6 @@
 	 */
 	static final double MAX_WAIT_SHARE = 0.8;
 
-	/** Assumed network round trip to an engine in milliseconds. */
-	static final double ROUND_TRIP_MILLIS = 10;
-
 	/**
 	 * Multiple of the expected time to the first event after which, with
 	 * {@link #OVERDUE_MARGIN_MILLIS} added, an engine is suspected to have failed.
@@ -124,28 +121,12 @@
 	 */
 	static final long SCAN_INTERVAL_MILLIS = 10;
 
-	/**
-	 * Factor on the expected length of an answer that an engine must be able to finish
-	 * before the client's deadline; clients underestimate about one length in five by
-	 * more.
-	 */
-	static final double LENGTH_MARGIN = 1.5;
-
 	/**
 	 * Most waiting work of one urgency that is passed over in a scheduling pass because
-	 * the free engines are too slow for it.
+	 * the free engines do not suit it.
 	 */
 	static final int MAX_PASSED_OVER = 8;
 
-	/**
-	 * Share of an engine's streams with a pause beyond the limit of their route from
-	 * which the engine gets long prompts of work that is on time only while it is idle.
-	 */
-	static final double MAX_BROKEN_GAP_RATE = 0.02;
-
-	/** Largest share of an engine's KV cache that is reserved for dispatched work. */
-	private static final double MAX_KV_SHARE = 0.95;
-
 	private final Map<String, EngineState> engines = new LinkedHashMap<>();
 
 	private final WaitingQueue onTimeQueue = new WaitingQueue();
@@ -155,7 +136,7 @@
 
 	private final Map<String, PoolRequest> waiting = new HashMap<>();
 
-	private final Map<String, RunningAttempt> running = new HashMap<>();
+	private final Map<String, PlacedAttempt> running = new HashMap<>();
 
 	/** Times of recent rejections by return key. */
 	private final Map<String, Long> rejectedAt = new LinkedHashMap<>() {
@@ -182,7 +163,7 @@
 	 * Cached capacity of the engines at {@link #capacityComputedAt}, which many decisions
 	 * read; null if the engines changed since.
 	 */
-	private Capacity capacity;
+	private PoolCapacity capacity;
 
 	private long capacityComputedAt = Long.MIN_VALUE;
 
@@ -334,10 +315,10 @@
 				+ fastest.speed.streamMillis(work.expectedTokens(), 1, 1) : 0;
 	}
 
-	private Capacity capacity(long now) {
+	private PoolCapacity capacity(long now) {
 		if (this.capacity == null || now != this.capacityComputedAt) {
 			this.capacityComputedAt = now;
-			this.capacity = new Capacity(this.engines.values(), now);
+			this.capacity = new PoolCapacity(this.engines.values(), now);
 		}
 		return this.capacity;
 	}
@@ -361,7 +342,7 @@
 	// work as its own organisation has waiting, including the new work.
 	private double estimateWaitMillis(Work work, WaitingQueue queue, long now) {
 		int urgency = work.urgency();
-		Capacity current = capacity(now);
+		PoolCapacity current = capacity(now);
 		double aheadMillis = 0;
 		for (int higher = urgency + 1; higher < Tier.URGENCY_COUNT; higher++) {
 			aheadMillis += queue.backlog(higher).slotMillis(current.speed());
@@ -424,10 +405,8 @@
 		}
 	}
 
-	// Dispatches waiting work of one urgency. Work for which the free engines are too
-	// slow
-	// is passed over and keeps its turn. Returns true if less urgent work may be
-	// dispatched.
+	// Dispatches waiting work of one urgency. Work that the free engines do not suit is
+	// passed over and keeps its turn. Returns true if less urgent work may be dispatched.
 	private boolean dispatchAll(WaitingQueue queue, int urgency, long now, List<PoolDecision> decisions) {
 		Deque<Work> passedOver = new ArrayDeque<>();
 		boolean lowerMayRun = true;
@@ -437,7 +416,7 @@
 				break;
 			}
 			if (!dispatchNext(queue, work, now, decisions)) {
-				if (!freeEnginesTooSlow(this.waiting.get(work.id()), now)) {
+				if (!someEngineAccepts(this.waiting.get(work.id()), now)) {
 					lowerMayRun = false;
 					break;
 				}
@@ -476,17 +455,14 @@
 		}
 	}
 
-	private boolean freeEnginesTooSlow(PoolRequest request, long now) {
+	private boolean someEngineAccepts(PoolRequest request, long now) {
 		return this.engines.values().stream().anyMatch((candidate) -> candidate.accepts(request.work(), now));
 	}
 
 	// Returns the engine of lowest cost that can take the request now, or null. Excluded
 	// engines are considered only if no other engine is usable, and engines that cannot
-	// finish before the client's deadline only if the fastest one cannot either. Work
-	// that
-	// is on time and has a long prompt goes to an engine whose streams have paused for
-	// too
-	// long only if it is idle.
+	// finish before the client's deadline only if the fastest one cannot either. For
+	// work that is on time, an engine must also be smooth if the fastest one is.
 	private EngineState chooseEngine(PoolRequest request, boolean onTime, long now) {
 		EngineState best = null;
 		double bestCostMillis = Double.MAX_VALUE;
@@ -519,7 +495,7 @@
 		}
 		double expectedMillis = state.speed
 			.firstEventMillis(state.promptBacklogTokens() + request.work().promptTokens());
-		RunningAttempt attempt = new RunningAttempt(request, state.engine.id(), now, expectedMillis,
+		PlacedAttempt attempt = new PlacedAttempt(request, state.engine.id(), now, expectedMillis,
 				state.promptBacklogTokens());
 		this.running.put(request.id(), attempt);
 		state.running.put(request.id(), attempt);
@@ -558,7 +534,7 @@
 
 	private void suspectOverdueEngines(long now) {
 		for (EngineState state : this.engines.values()) {
-			for (RunningAttempt attempt : state.running.values()) {
+			for (PlacedAttempt attempt : state.running.values()) {
 				double maxFirstEventMillis = attempt.expectedFirstEventMillis * OVERDUE_FACTOR + OVERDUE_MARGIN_MILLIS;
 				if (!attempt.answering && now - attempt.dispatchedAt > maxFirstEventMillis) {
 					state.health.onOverdue(now);
@@ -574,7 +550,7 @@
 	 * @param millis time from dispatch to the event in milliseconds
 	 */
 	public void onFirstEvent(String id, long millis) {
-		RunningAttempt attempt = this.running.get(id);
+		PlacedAttempt attempt = this.running.get(id);
 		EngineState state = (attempt != null) ? this.engines.get(attempt.engine) : null;
 		if (state != null && !attempt.answering) {
 			invalidateCapacity();
@@ -593,7 +569,7 @@
 	 * @param now time in milliseconds
 	 */
 	public void onStalled(String id, boolean stalled, long now) {
-		RunningAttempt attempt = this.running.get(id);
+		PlacedAttempt attempt = this.running.get(id);
 		EngineState state = (attempt != null) ? this.engines.get(attempt.engine) : null;
 		if (state == null) {
 			return;
@@ -617,7 +593,7 @@
 	 * @param now time in milliseconds
 	 */
 	public void onEnded(String id, AttemptResult result, StreamStats stats, long now) {
-		RunningAttempt attempt = this.running.remove(id);
+		PlacedAttempt attempt = this.running.remove(id);
 		if (attempt == null) {
 			return;
 		}
@@ -642,7 +618,7 @@
 	 */
 	public void withdraw(String id) {
 		removeWaiting(id);
-		RunningAttempt attempt = this.running.remove(id);
+		PlacedAttempt attempt = this.running.remove(id);
 		if (attempt != null && this.engines.containsKey(attempt.engine)) {
 			this.engines.get(attempt.engine).running.remove(id);
 			invalidateCapacity();
@@ -655,7 +631,7 @@
 	 * @return id of the engine, or null if the work does not run
 	 */
 	public String engineOf(String id) {
-		RunningAttempt attempt = this.running.get(id);
+		PlacedAttempt attempt = this.running.get(id);
 		return (attempt != null) ? attempt.engine : null;
 	}
 
@@ -670,7 +646,7 @@
 	public void adopt(PoolRequest request, String engine, long now) {
 		EngineState state = this.engines.get(engine);
 		if (state != null && !this.running.containsKey(request.id())) {
-			RunningAttempt attempt = new RunningAttempt(request, engine, now, 0, 0);
+			PlacedAttempt attempt = new PlacedAttempt(request, engine, now, 0, 0);
 			attempt.answering = true;
 			invalidateCapacity();
 			this.running.put(request.id(), attempt);
@@ -713,160 +689,4 @@
 		return this.running.size();
 	}
 
-	/**
-	 * Capacity of the usable engines at one time. Confined to its scheduler.
-	 */
-	private static final class Capacity {
-
-		/** Usable engine with the shortest time per output token, or null. */
-		final EngineState fastest;
-
-		final int usableSlots;
-
-		/**
-		 * Number of slots of the fastest engine that have the same throughput as the
-		 * slots of all usable engines.
-		 */
-		final double effectiveSlots;
-
-		int freeSlots;
-
-		Capacity(Collection<EngineState> engines, long now) {
-			EngineState best = null;
-			int usable = 0;
-			double slotsPerToken = 0;
-			for (EngineState state : engines) {
-				if (state.usable(now)) {
-					best = (best == null || state.speed.decodeMillisPerToken() < best.speed.decodeMillisPerToken())
-							? state : best;
-					usable += state.engine.slots();
-					slotsPerToken += state.engine.slots() / Math.max(0.001, state.speed.decodeMillisPerToken());
-					this.freeSlots += Math.max(0, state.engine.slots() - state.running.size());
-				}
-			}
-			this.fastest = best;
-			this.usableSlots = usable;
-			this.effectiveSlots = (best != null) ? slotsPerToken * best.speed.decodeMillisPerToken() : 0;
-		}
-
-		EngineSpeedEstimator speed() {
-			return (this.fastest != null) ? this.fastest.speed : EngineSpeedEstimator.NONE;
-		}
-
-	}
-
-	/**
-	 * An attempt that was dispatched to an engine. Confined to its scheduler.
-	 */
-	private static final class RunningAttempt {
-
-		final PoolRequest request;
-
-		final String engine;
-
-		final long dispatchedAt;
-
-		final double expectedFirstEventMillis;
-
-		/**
-		 * Prompt tokens that the engine still had to prefill when this was dispatched.
-		 */
-		final int backlogTokens;
-
-		/** Whether the first event of the answer has arrived. */
-		boolean answering;
-
-		/** Whether the stream pauses for longer than its route allows. */
-		boolean stalled;
-
-		RunningAttempt(PoolRequest request, String engine, long dispatchedAt, double expectedFirstEventMillis,
-				int backlogTokens) {
-			this.request = request;
-			this.engine = engine;
-			this.dispatchedAt = dispatchedAt;
-			this.expectedFirstEventMillis = expectedFirstEventMillis;
-			this.backlogTokens = backlogTokens;
-		}
-
-	}
-
-	/**
-	 * Load, health and speed of one engine. Confined to its scheduler.
-	 */
-	private static final class EngineState {
-
-		PoolEngine engine;
-
-		boolean accepting = true;
-
-		final Map<String, RunningAttempt> running = new HashMap<>();
-
-		final EndpointHealth health = new EndpointHealth();
-
-		final EngineSpeedEstimator speed = new EngineSpeedEstimator();
-
-		boolean usable(long now) {
-			return this.accepting && (this.health.available(now) || this.health.probeAllowed(now));
-		}
-
-		boolean accepts(Work work, long now) {
-			return usable(now) && this.running.size() < this.engine.slots() && fitsKvCache(work);
-		}
-
-		// Whether an answer that is longer than expected still ends before the client's
-		// deadline.
-		boolean finishes(PoolRequest request, long now) {
-			double millis = this.speed.firstEventMillis(promptBacklogTokens() + request.work().promptTokens())
-					+ this.speed.streamMillis((long) (request.work().expectedTokens() * LENGTH_MARGIN),
-							this.engine.slots(), this.engine.slots());
-			return now + millis + ROUND_TRIP_MILLIS <= request.clientDeadlineAt();
-		}
-
-		// Whether the work fits an engine whose streams, this one or others, must not
-		// pause
-		// for longer than their routes allow. Long pauses come from long prompts that a
-		// slow engine prefills meanwhile.
-		boolean smooth(PoolRequest request) {
-			return request.maxGapMillis() == 0 || this.running.isEmpty()
-					|| this.speed.brokenGapRate() <= MAX_BROKEN_GAP_RATE
-					|| this.speed.firstEventMillis(request.work().promptTokens()) <= request.maxGapMillis();
-		}
-
-		// An idle engine takes any work, since work larger than the limit could never run
-		// otherwise.
-		private boolean fitsKvCache(Work work) {
-			if (this.engine.kvTokens() == 0 || this.running.isEmpty()) {
-				return true;
-			}
-			long reservedTokens = work.kvTokens();
-			for (RunningAttempt attempt : this.running.values()) {
-				reservedTokens += attempt.request.work().kvTokens();
-			}
-			return reservedTokens <= this.engine.kvTokens() * MAX_KV_SHARE;
-		}
-
-		boolean allStreamsStalled() {
-			return this.running.values().stream().allMatch((attempt) -> attempt.stalled || !attempt.answering);
-		}
-
-		// Prompt tokens of attempts whose answer has not begun.
-		int promptBacklogTokens() {
-			int tokens = 0;
-			for (RunningAttempt attempt : this.running.values()) {
-				tokens += attempt.answering ? 0 : attempt.request.work().promptTokens();
-			}
-			return tokens;
-		}
-
-		// Expected time to complete the work, increased for an engine with recent
-		// failures.
-		double costMillis(Work work) {
-			double firstEventMillis = this.speed.firstEventMillis(promptBacklogTokens() + work.promptTokens());
-			double streamMillis = this.speed.streamMillis(work.expectedTokens(), this.running.size() + 1,
-					this.engine.slots());
-			return (firstEventMillis + streamMillis + ROUND_TRIP_MILLIS) * this.health.costFactor();
-		}
-
-	}
-
 }
