--- a/src/main/java/carawayswitch/gateway/Exchange.java
+++ b/src/main/java/carawayswitch/gateway/Exchange.java
@@ -229,16 +229,17 @@
 			fail(ErrorKind.ORGANISATION_LIMIT, wait, "cap");
 			return;
 		}
+		afterPendingDisconnects((sendTime) -> send(chooseEndpoint(sendTime), sendTime));
+	}
+
+	private String chooseEndpoint(long now) {
 		List<String> candidates = this.context.endpoints.get()
 			.accepting(this.service)
 			.stream()
 			.map(EndpointEntry::id)
 			.toList();
-		afterPendingDisconnects(
-				(sendTime) -> send(
-						this.context.balancer(this.service)
-							.choose(candidates, this.triedEndpoints, placementId(), this.context.random, sendTime),
-						sendTime));
+		return this.context.balancer(this.service)
+			.choose(candidates, this.triedEndpoints, placementId(), this.context.random, now);
 	}
 
 	private String placementId() {
@@ -249,7 +250,7 @@
 		int expectedOutputTokens = (this.metadata.expectedOutputTokens() > 0) ? this.metadata.expectedOutputTokens()
 				: this.context.lengthEstimator.expectedTokens(this.route.name(), organisationName(),
 						this.metadata.maxOutputTokens());
-		long elapsed = now - this.lastEventAt();
+		long elapsed = now - lastEventAt();
 		long placeWait = Math.min((long) (StreamProgress.clientWaitMillis(this.route) * PLACE_WAIT_SHARE) - elapsed,
 				this.deadlineAt - now);
 		long objective = this.headSent ? this.route.maxGapMillis() : this.route.objectiveMillis();
