Review: streams of a worker that restarts under its id are joined from two versions

Until its new entry is read, a worker that comes back with other software counts as the old version, and its streams are bound to that.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 cd "$(dirname "$0")/../.." || exit 2
-exec java -Xmx256m -cp target/review-classes CaseStopLate review/4
+exec java -Xmx256m -cp target/review-classes CaseStale review/4
--- a/review/harness/Fleet.java
+++ b/review/harness/Fleet.java
@@ -231,8 +231,13 @@
 
 		void send(String method, String path, String id, long deadlineMillis, String key, byte[] body)
 				throws IOException {
+			send(method, path, id, deadlineMillis, key, "", body);
+		}
+
+		void send(String method, String path, String id, long deadlineMillis, String key, String moreHeaders, byte[] body)
+				throws IOException {
 			String head = method + " " + path + " HTTP/1.1\r\nHost: " + HOST + "\r\nX-Attempt-Id: " + id
-					+ "\r\nX-Deadline-Ms: " + deadlineMillis + "\r\nAuthorization: Bearer " + key + "\r\n"
+					+ "\r\nX-Deadline-Ms: " + deadlineMillis + "\r\nAuthorization: Bearer " + key + "\r\n" + moreHeaders
 					+ ((body.length > 0 || !method.equals("GET")) ? "Content-Length: " + body.length + "\r\n" : "")
 					+ "\r\n";
 			this.out.write(head.getBytes(StandardCharsets.ISO_8859_1));
