--- a/review/harness/CaseStopLate.java
+++ b/review/harness/CaseStopLate.java
@@ -73,7 +73,7 @@
 		}
 		Thread.sleep(3500);
 		if (fleet.trouble) {
-			fleet.signal(gateway, "TERM");
+			fleet.terminate(gateway);
 		}
 		synchronized (signalled) {
 			begin[0] = System.nanoTime();
@@ -85,7 +85,7 @@
 		});
 		Thread.sleep(GRACE_MILLIS);
 		if (fleet.trouble && gateway.process.isAlive()) {
-			fleet.signal(gateway, "KILL");
+			fleet.kill(gateway);
 		}
 		for (Thread thread : threads) {
 			thread.join();
--- a/review/harness/Fleet.java
+++ b/review/harness/Fleet.java
@@ -13,7 +13,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -156,10 +155,16 @@
 		return List.of(run.group(1).split(" "));
 	}
 
-	/** Ends a process with a signal, as the platform or an operator does. */
-	void signal(Gateway gateway, String signal) throws IOException, InterruptedException {
-		note("SIG" + signal + " to " + gateway.name);
-		new ProcessBuilder("kill", "-" + signal, "" + gateway.process.pid()).start().waitFor(5, TimeUnit.SECONDS);
+	/** Stops a process with SIGTERM, as the platform does. */
+	void terminate(Gateway gateway) {
+		note("SIGTERM to " + gateway.name);
+		gateway.process.destroy();
+	}
+
+	/** Ends a process with SIGKILL. */
+	void kill(Gateway gateway) {
+		note("SIGKILL to " + gateway.name);
+		gateway.process.destroyForcibly();
 	}
 
 	/** A gateway process. */
