--- a/review/harness/CaseBodies.java
+++ b/review/harness/CaseBodies.java
@@ -16,7 +16,7 @@
 
 	private static final int BODY_BYTES = 1_000_000;
 
-	private static final int USUAL_CLIENTS = 110;
+	private static final int USUAL_CLIENTS = 130;
 
 	private static final double BURST = 2.5;
 
