Review: case of an unreadable entry in the list of workers

An entry whose key is not readable text is taken for a worker. The requests that are to go there are never answered: the header check of the HTTP library throws in a task of the event loop.

--- a/review/harness/Store.java
+++ b/review/harness/Store.java
@@ -145,7 +145,7 @@
 					items.remove(key);
 				}
 				else {
-					items.put(key, "{\"key\":\"" + key + "\",\"value\":\"" + Base64.getEncoder()
+					items.put(key, "{\"key\":\"" + escape(key) + "\",\"value\":\"" + Base64.getEncoder()
 						.encodeToString(java.util.Arrays.copyOfRange(record, 1 + (record[0] & 0xff), record.length))
 							+ "\",\"offset\":" + i + "}");
 				}
@@ -170,6 +170,14 @@
 			.getBytes(StandardCharsets.UTF_8));
 	}
 
+	private static String escape(String text) {
+		StringBuilder escaped = new StringBuilder();
+		text.chars()
+			.forEach((c) -> escaped
+				.append((c < 0x20 || c == '"' || c == '\\') ? String.format("\\u%04x", c) : String.valueOf((char) c)));
+		return escaped.toString();
+	}
+
 	private static void respond(OutputStream out, int status, byte[] body) throws IOException {
 		ByteArrayOutputStream response = new ByteArrayOutputStream();
 		response.writeBytes(("HTTP/1.1 " + status + " X\r\nContent-Length: " + body.length + "\r\n\r\n")
